--- /dev/null
+++ b/cmd/coriandershift/main.go
@@ -0,0 +1,19 @@
+// Command coriandershift is the operators' client.
+package main
+
+import (
+	"os"
+
+	"github.com/coriandershift/coriandershift/internal/clitab"
+	"github.com/coriandershift/coriandershift/internal/version"
+)
+
+func main() {
+	program := clitab.Program{
+		Name:     "coriandershift",
+		Help:     "coriandershift asks and changes what is in force in a coriandershift load balancer.",
+		Version:  version.Number,
+		Commands: []clitab.Command{runCommand, importCommand, exportCommand},
+	}
+	os.Exit(program.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/coriandershift/session.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/admin"
+)
+
+const pollEvery = 100 * time.Millisecond
+
+// connection is the options by which a command reaches the system.
+type connection struct {
+	Balancer  netip.AddrPort `arg:"--balancer,required,env:CORIANDERSHIFT_BALANCER" help:"admin address of any balancer"`
+	Cert      string         `arg:"--cert,required,env:CORIANDERSHIFT_CERT" help:"operator's certificate"`
+	Key       string         `arg:"--key,required,env:CORIANDERSHIFT_KEY" help:"key of the certificate"`
+	Authority string         `arg:"--authority,required,env:CORIANDERSHIFT_AUTHORITY" help:"certificate of the authority"`
+	Timeout   time.Duration  `arg:"--timeout" default:"10s" help:"how long to wait for answers"`
+}
+
+// changeOptions are the options of every command that changes something.
+type changeOptions struct {
+	Base  uint64 `arg:"--base" help:"refuse unless this revision is in force; 0 for any"`
+	ID    string `arg:"--id" help:"ID of the change, to send the same one again"`
+	Force bool   `arg:"--force" help:"insist on a harmful change"`
+	Dry   bool   `arg:"--dry-run" help:"only check the change against what is in force"`
+	Wait  bool   `arg:"--wait" help:"wait until the change is in force everywhere"`
+}
+
+var errNotEverywhere = errors.New("change is accepted but not yet in force everywhere")
+
+func (c *connection) client() (*admin.Client, error) {
+	peers, err := admin.TLS(setup.Certificate{CertFile: c.Cert, KeyFile: c.Key, AuthorityFile: c.Authority})
+	if err != nil {
+		return nil, err
+	}
+	return admin.NewClient(peers), nil
+}
+
+func (c *connection) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), c.Timeout)
+}
+
+// change sends operations as one change and reports what became of it.
+func (c *connection) change(o changeOptions, operations []config.Operation) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+
+	change := config.Change{ID: o.ID, Base: o.Base, Force: o.Force, Operations: operations}
+	if change.ID == "" {
+		change.ID = newID()
+	}
+
+	if o.Dry {
+		return c.dryRun(ctx, client, change)
+	}
+
+	revision, err := client.Change(ctx, c.Balancer, change)
+	if err != nil {
+		return errors.WithMessagef(err, "change %s", change.ID)
+	}
+	fmt.Printf("accepted id=%s revision=%d\n", change.ID, revision)
+	if o.Wait {
+		return c.wait(ctx, client, revision)
+	}
+	return nil
+}
+
+func (c *connection) dryRun(ctx context.Context, client *admin.Client, change config.Change) error {
+	current, err := client.Config(ctx, c.Balancer)
+	if err != nil {
+		return err
+	}
+	if _, err := current.Apply(change); err != nil {
+		return err
+	}
+	fmt.Printf("would be accepted on revision=%d\n", current.Revision)
+	return nil
+}
+
+// wait returns once a revision is in force at every member that is not dead.
+func (c *connection) wait(ctx context.Context, client *admin.Client, revision uint64) error {
+	var late []admin.MemberStatus
+	for ctx.Err() == nil {
+		members, err := client.Members(ctx, c.Balancer)
+		if err == nil {
+			late = lagging(members, revision)
+			if len(late) == 0 {
+				fmt.Printf("in force everywhere revision=%d members=%d\n", revision, len(members))
+				return nil
+			}
+		}
+		time.Sleep(pollEvery)
+	}
+
+	for _, m := range late {
+		fmt.Fprintf(os.Stderr, "not yet at %s name=%s revision=%d\n", m.Address, m.Name, m.Revision)
+	}
+	return errNotEverywhere
+}
+
+func lagging(members []admin.MemberStatus, revision uint64) []admin.MemberStatus {
+	var late []admin.MemberStatus
+	for _, m := range members {
+		if m.State != "dead" && m.Revision < revision {
+			late = append(late, m)
+		}
+	}
+	return late
+}
+
+func newID() string {
+	id := make([]byte, 16)
+	_, _ = rand.Read(id) // never fails
+	return hex.EncodeToString(id)
+}
--- /dev/null
+++ b/cmd/coriandershiftd/cmd_agent.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"github.com/coriandershift/coriandershift/internal/clitab"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/agent"
+)
+
+var agentArgs struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments"`
+}
+
+var agentCommand = clitab.Command{
+	Name: "agent",
+	Help: "run the agent beside an upstream",
+	Args: &agentArgs,
+	Run:  runAgent,
+}
+
+func runAgent() error {
+	d, err := newDaemon(agentArgs.Settings, agentMember)
+	if err != nil {
+		return err
+	}
+
+	ctx, stop := untilSignal()
+	defer stop()
+
+	go d.serveMetrics()
+	go d.reloadKeys(ctx)
+	d.healthy.Store(true)
+
+	d.log.Info("agent started", "address", d.settings.Address, "service", d.settings.Agent.Service)
+	err = agent.New(d.settings, d.keys, d.ids, d.link, d.log, d.metrics).Run(ctx)
+	d.log.Info("agent stopped")
+	return ignoreCancelled(err)
+}
+
+func agentMember(s *setup.Settings) roster.Member {
+	m := roster.Member{Address: s.Address, Role: roster.Agent, Name: s.Name, Domain: s.Domain}
+	if s.Agent != nil {
+		m.Service = s.Agent.Service
+	}
+	return m
+}
--- /dev/null
+++ b/cmd/standin/cmd_fabric.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/clitab"
+	"github.com/coriandershift/coriandershift/internal/standin/fabric"
+)
+
+var fabricArgs struct {
+	Services  []netip.AddrPort `arg:"--service,separate,required" help:"IP address and UDP port of a service; may be repeated"`
+	Balancers []string         `arg:"--balancer,separate,required" help:"IP address of a balancer's frontend and its health URL, as IP=URL; may be repeated"`
+}
+
+var fabricCommand = clitab.Command{
+	Name: "fabric",
+	Help: "stand in for the network that sprays packets over the balancers",
+	Args: &fabricArgs,
+	Run:  runFabric,
+}
+
+func runFabric() error {
+	var balancers []fabric.Balancer
+	for _, text := range fabricArgs.Balancers {
+		ip, health, _ := strings.Cut(text, "=")
+		frontend, err := netip.ParseAddr(ip)
+		if err != nil {
+			return errors.Wrapf(err, "balancer %q", text)
+		}
+		balancers = append(balancers, fabric.Balancer{Frontend: frontend, Health: health})
+	}
+
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	return fabric.New(log, balancers).Serve(context.Background(), fabricArgs.Services)
+}
--- /dev/null
+++ b/cmd/standin/cmd_upstream.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/clitab"
+	"github.com/coriandershift/coriandershift/internal/standin/upstrm"
+)
+
+var upstreamArgs struct {
+	Listen     string        `arg:"--listen,required" help:"IP address and TCP port"`
+	Name       string        `arg:"--name,required" help:"name of the upstream"`
+	Service    string        `arg:"--service,required" help:"name of the service"`
+	Domain     string        `arg:"--domain" help:"name of the failure domain"`
+	Slots      int           `arg:"--slots" default:"5" help:"requests it bears at once when warm"`
+	ColdSlots  int           `arg:"--cold-slots" default:"2" help:"requests it bears at once when cold"`
+	WarmUp     time.Duration `arg:"--warm-up" default:"2s" help:"how long it stays cold"`
+	Work       time.Duration `arg:"--work" default:"5ms" help:"service time of a request when warm"`
+	ColdFactor int           `arg:"--cold-factor" default:"5" help:"how many times as long a cold request takes"`
+}
+
+var upstreamCommand = clitab.Command{
+	Name: "upstream",
+	Help: "stand in for an upstream that starts cold",
+	Args: &upstreamArgs,
+	Run:  runUpstream,
+}
+
+func runUpstream() error {
+	u := upstrm.New(upstrm.Options{
+		Name:       upstreamArgs.Name,
+		Service:    upstreamArgs.Service,
+		Domain:     upstreamArgs.Domain,
+		Slots:      upstreamArgs.Slots,
+		ColdSlots:  upstreamArgs.ColdSlots,
+		WarmUp:     upstreamArgs.WarmUp,
+		Work:       upstreamArgs.Work,
+		ColdFactor: upstreamArgs.ColdFactor,
+	})
+	return serveHTTP(upstreamArgs.Listen, u.Handler())
+}
--- /dev/null
+++ b/internal/coordination/member/handle.go
@@ -0,0 +1,165 @@
+package member
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+// Handle takes a message that arrived. The offer is set if the sender has a newer configuration.
+func (n *Node) Handle(now time.Time, m Message) ([]Send, Offer) {
+	n.lastHeard = now
+
+	var offer Offer
+	if m.Revision > n.revision && m.From.Admin.IsValid() {
+		offer = Offer{Revision: m.Revision, Admin: m.From.Admin}
+	}
+
+	switch m.Kind {
+	case Heartbeat:
+		return n.onHeartbeat(now, m), offer
+	case Ack:
+		n.onAck(now, m)
+	case Probe:
+		return []Send{{To: m.From.Address, Message: n.message(Heartbeat)}}, offer
+	case Push:
+		n.onPush(now, m)
+	case Digest:
+		return n.onDigest(now, m), offer
+	}
+	return nil, offer
+}
+
+func (n *Node) onHeartbeat(now time.Time, m Message) []Send {
+	if n.self.Role != roster.Balancer || m.From.Address == n.self.Address {
+		return nil
+	}
+
+	known, ok := n.heard[m.From.Address]
+	if !ok || m.From.Sequence > known.sequence || m.Revision > known.revision || now.Sub(known.at) > SuspectAfter {
+		n.heard[m.From.Address] = contact{at: now, sequence: m.From.Sequence, revision: m.Revision}
+	}
+
+	n.learn(now, m.From)
+	return []Send{{To: m.From.Address, Message: n.ack(m.From.Address)}}
+}
+
+// learn takes a record that came from the member itself. Only a change of
+// content spreads, so that heartbeats cost nothing beyond the home.
+func (n *Node) learn(now time.Time, from roster.Member) {
+	known, ok := n.roster.Get(from.Address)
+	if ok && from.Same(&known) {
+		return
+	}
+	n.merge(now, from)
+}
+
+// merge takes a record into the roster and passes it on if it was news.
+func (n *Node) merge(now time.Time, m roster.Member) {
+	if !n.roster.Merge(m, now) {
+		return
+	}
+	n.spread(m.Address)
+	n.consider(now, m)
+}
+
+func (n *Node) ack(to netip.AddrPort) Message {
+	m := n.message(Ack)
+	m.Homes = addresses(roster.HomesOf(to, n.ring))
+	return m
+}
+
+func (n *Node) onAck(now time.Time, m Message) {
+	n.lastAck = now
+	if n.self.Role != roster.Balancer {
+		if len(m.Homes) > 0 {
+			n.homes = m.Homes
+		}
+		return
+	}
+	n.learn(now, m.From)
+}
+
+func (n *Node) onPush(now time.Time, m Message) {
+	if n.self.Role != roster.Balancer {
+		return
+	}
+
+	n.learn(now, m.From)
+	for _, member := range m.Members {
+		if member.Address == n.self.Address {
+			n.refute(member)
+			continue
+		}
+		if n.outlived(member) {
+			continue
+		}
+		n.merge(now, member)
+	}
+}
+
+// refute answers a record about this node that is not its own.
+func (n *Node) refute(claim roster.Member) {
+	if claim.Incarnation != n.self.Incarnation || claim.Same(&n.self) {
+		return
+	}
+	n.self.Sequence = max(n.self.Sequence, claim.Sequence)
+	n.announce()
+}
+
+// outlived reports whether a claim of death is older than a heartbeat heard
+// here, and says so to the others.
+func (n *Node) outlived(claim roster.Member) bool {
+	if claim.State != roster.Dead {
+		return false
+	}
+
+	known, ok := n.roster.Get(claim.Address)
+	if !ok || known.Incarnation != claim.Incarnation || known.State == roster.Dead {
+		return false
+	}
+
+	c, ok := n.heard[claim.Address]
+	if !ok || c.sequence <= claim.Sequence {
+		return false
+	}
+
+	known.Sequence = c.sequence
+	n.merge(n.lastTick, known)
+	return true
+}
+
+func (n *Node) onDigest(now time.Time, m Message) []Send {
+	if n.self.Role != roster.Balancer || len(m.Digest) != roster.Buckets {
+		return nil
+	}
+
+	n.learn(now, m.From)
+	missing := n.roster.Differing([roster.Buckets]uint64(m.Digest))
+	if len(missing) == 0 {
+		return nil
+	}
+
+	var sends []Send
+	for len(missing) > 0 && len(sends) < maxRepair {
+		count := min(len(missing), maxMembers)
+		push := n.message(Push)
+		push.Members = missing[:count]
+		missing = missing[count:]
+		sends = append(sends, Send{To: m.From.Address, Message: push})
+	}
+
+	if !m.Reply {
+		sends = append(sends, Send{To: m.From.Address, Message: n.digestMessage(true)})
+	}
+	return sends
+}
+
+func (n *Node) digestMessage(reply bool) Message {
+	m := n.message(Digest)
+	digest := n.roster.Digest()
+	m.Digest = digest[:]
+	m.Reply = reply
+	return m
+}
--- /dev/null
+++ b/internal/coordination/member/message.go
@@ -0,0 +1,61 @@
+package member
+
+import (
+	"net/netip"
+
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+// Kind tells what a message is for.
+type Kind uint8
+
+// The kinds.
+const (
+	// Heartbeat tells a home that its sender lives.
+	Heartbeat Kind = 1
+	// Ack answers a heartbeat.
+	Ack Kind = 2
+	// Push spreads members between balancers.
+	Push Kind = 3
+	// Digest asks a balancer for what the sender lacks.
+	Digest Kind = 4
+	// Probe asks for a heartbeat at once.
+	Probe Kind = 5
+)
+
+// Message goes between two processes of the system in one datagram.
+type Message struct {
+	Kind Kind `cbor:"1,keyasint"`
+
+	// From is the sender's own record.
+	From roster.Member `cbor:"2,keyasint"`
+
+	// Revision is the configuration in force at the sender.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
+
+	// Members are records that the sender passes on; at most maxMembers.
+	Members []roster.Member `cbor:"4,keyasint,omitempty"`
+
+	// Digest describes the sender's roster; roster.Buckets long or empty.
+	Digest []uint64 `cbor:"5,keyasint,omitempty"`
+
+	// Homes are the balancers to which the receiver shall send its heartbeats.
+	Homes []netip.AddrPort `cbor:"6,keyasint,omitempty"`
+
+	// Reply says that a digest answers another one, so that it is not answered again.
+	Reply bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Send is a message to be sent.
+type Send struct {
+	To      netip.AddrPort
+	Message Message
+}
+
+// Offer names a peer that has a configuration.
+type Offer struct {
+	Revision uint64
+
+	// Admin is where the peer hands it out.
+	Admin netip.AddrPort
+}
--- /dev/null
+++ b/internal/coordination/member/node.go
@@ -0,0 +1,219 @@
+// Package member decides how processes learn of each other. Every process
+// sends heartbeats to two home balancers; balancers spread changes to each
+// other by bounded epidemic push (Demers et al., 1987) and repair gaps by
+// digests. It does no I/O: the time and a random source are passed in.
+package member
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+const (
+	// HeartbeatEvery is the time between two heartbeats.
+	HeartbeatEvery = 500 * time.Millisecond
+
+	// SuspectAfter is how long a member may be silent before it is probed.
+	SuspectAfter = 1500 * time.Millisecond
+
+	// DeadAfter is how long a member may be silent before it is taken for dead.
+	DeadAfter = 3 * time.Second
+
+	// ForgetAfter is how long a dead member is remembered.
+	ForgetAfter = 10 * time.Minute
+
+	// TickEvery is how often Tick must be called.
+	TickEvery = 100 * time.Millisecond
+
+	pushEvery   = 200 * time.Millisecond
+	digestEvery = 2 * time.Second
+	pauseGap    = time.Second // a longer gap between ticks means that this process was paused
+	ackLost     = 2 * time.Second
+
+	fanout       = 3
+	maxMembers   = 10 // fits a datagram of 1,200 bytes
+	maxRepair    = 30 // messages that answer one digest
+	spreadFactor = 3
+)
+
+// Node is one process's part in the membership. It is not safe for concurrent use.
+type Node struct {
+	self     roster.Member
+	random   *rand.Rand
+	roster   *roster.Roster
+	seeds    []netip.AddrPort
+	revision uint64
+
+	homes   []netip.AddrPort
+	lastAck time.Time
+
+	heard   map[netip.AddrPort]contact
+	rumours map[netip.AddrPort]int
+	ring    []roster.Member
+	watched map[netip.AddrPort]time.Time
+	ringAt  uint64
+
+	lastTick, lastBeat, lastPush, lastDigest, lastProbe, lastHeard time.Time
+}
+
+type contact struct {
+	at       time.Time
+	sequence uint64
+	revision uint64
+}
+
+// New returns a Node for the process that self describes.
+func New(self roster.Member, random *rand.Rand) *Node {
+	self.State = roster.Alive
+	n := &Node{
+		self:    self,
+		random:  random,
+		roster:  roster.New(),
+		heard:   map[netip.AddrPort]contact{},
+		rumours: map[netip.AddrPort]int{},
+		watched: map[netip.AddrPort]time.Time{},
+	}
+	if self.Role == roster.Balancer {
+		n.roster.Merge(self, time.Time{})
+	}
+	return n
+}
+
+// Roster returns what the node knows of the others.
+func (n *Node) Roster() *roster.Roster {
+	return n.roster
+}
+
+// Self returns the node's own record.
+func (n *Node) Self() roster.Member {
+	return n.self
+}
+
+// SetSeeds names balancers to turn to when no home answers.
+func (n *Node) SetSeeds(seeds []netip.AddrPort) {
+	n.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == n.self.Address })
+}
+
+// SetRevision tells which configuration is in force here.
+func (n *Node) SetRevision(revision uint64) {
+	n.revision = revision
+}
+
+// SetWeight changes the share of new flows that the node asks for.
+func (n *Node) SetWeight(weight uint8) {
+	if n.self.Weight == weight {
+		return
+	}
+	n.self.Weight = weight
+	n.lastBeat = time.Time{}
+}
+
+// Leave announces that the node takes nothing new from now on.
+func (n *Node) Leave() {
+	n.self.State = roster.Leaving
+	n.lastBeat = time.Time{}
+	n.announce()
+}
+
+// Return takes Leave back.
+func (n *Node) Return() {
+	n.self.State = roster.Alive
+	n.lastBeat = time.Time{}
+	n.announce()
+}
+
+// Isolated reports whether no balancer has answered lately.
+func (n *Node) Isolated(now time.Time) bool {
+	return now.Sub(n.lastAck) > ackLost
+}
+
+// Applied returns the configuration revision in force at each member that reports to this node.
+func (n *Node) Applied() map[netip.AddrPort]uint64 {
+	applied := make(map[netip.AddrPort]uint64, len(n.heard))
+	for address, c := range n.heard {
+		m, known := n.roster.Get(address)
+		if known && m.State != roster.Dead {
+			applied[address] = c.revision
+		}
+	}
+	return applied
+}
+
+// Tick does what is due by now.
+func (n *Node) Tick(now time.Time) []Send {
+	if now.Sub(n.lastTick) > pauseGap {
+		n.resume(now)
+	}
+	n.lastTick = now
+
+	sends := n.beat(now)
+	if n.self.Role != roster.Balancer {
+		return sends
+	}
+
+	n.watch(now)
+	sends = append(sends, n.judge(now)...)
+	sends = append(sends, n.push(now)...)
+	sends = append(sends, n.digest(now)...)
+	n.roster.Forget(now.Add(-ForgetAfter))
+	return sends
+}
+
+// resume gives every member a fresh start after this process was paused: their
+// heartbeats may wait unread.
+func (n *Node) resume(now time.Time) {
+	for address, c := range n.heard {
+		c.at = now
+		n.heard[address] = c
+	}
+	for address := range n.watched {
+		n.watched[address] = now
+	}
+}
+
+func (n *Node) beat(now time.Time) []Send {
+	if now.Sub(n.lastBeat) < HeartbeatEvery {
+		return nil
+	}
+	n.lastBeat = now
+	n.self.Sequence++
+
+	if n.self.Role == roster.Balancer {
+		n.homes = addresses(roster.HomesOf(n.self.Address, n.ring))
+	}
+
+	targets := n.homes
+	if len(targets) == 0 || n.Isolated(now) {
+		targets = append(slices.Clone(n.homes), n.seeds...)
+	}
+
+	var sends []Send
+	for _, to := range targets {
+		sends = append(sends, Send{To: to, Message: n.message(Heartbeat)})
+	}
+	return sends
+}
+
+func (n *Node) message(kind Kind) Message {
+	return Message{Kind: kind, From: n.self, Revision: n.revision}
+}
+
+func (n *Node) announce() {
+	if n.self.Role != roster.Balancer {
+		return
+	}
+	n.self.Sequence++
+	n.merge(n.lastTick, n.self)
+}
+
+func addresses(members []roster.Member) []netip.AddrPort {
+	var list []netip.AddrPort
+	for i := range members {
+		list = append(list, members[i].Address)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/coordination/member/watch.go
@@ -0,0 +1,151 @@
+package member
+
+import (
+	"math/bits"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+// watch works out which members this node is a home of, whenever the set of balancers changes.
+func (n *Node) watch(now time.Time) {
+	if n.ringAt == n.roster.BalancerVersion() {
+		return
+	}
+	n.ringAt = n.roster.BalancerVersion()
+
+	n.ring = n.roster.Balancers()
+	roster.RingOrder(n.ring)
+
+	watched := map[netip.AddrPort]time.Time{}
+	for _, m := range n.roster.Members() {
+		if m.State == roster.Dead || !n.isHomeOf(m.Address) {
+			continue
+		}
+		since, already := n.watched[m.Address]
+		if !already {
+			since = now
+		}
+		watched[m.Address] = since
+	}
+	n.watched = watched
+}
+
+// consider starts or ends the watch over one member whose record changed.
+func (n *Node) consider(now time.Time, m roster.Member) {
+	if m.State == roster.Dead || !n.isHomeOf(m.Address) {
+		delete(n.watched, m.Address)
+		return
+	}
+	if _, already := n.watched[m.Address]; !already {
+		n.watched[m.Address] = now
+	}
+}
+
+func (n *Node) isHomeOf(address netip.AddrPort) bool {
+	if address == n.self.Address {
+		return false
+	}
+	return slices.ContainsFunc(roster.HomesOf(address, n.ring), func(m roster.Member) bool {
+		return m.Address == n.self.Address
+	})
+}
+
+// judge probes members that have gone silent and declares the dead. A node
+// that hears from nobody judges nobody: it is more likely cut off itself.
+func (n *Node) judge(now time.Time) []Send {
+	if now.Sub(n.lastHeard) > SuspectAfter {
+		return nil
+	}
+
+	probe := now.Sub(n.lastProbe) >= HeartbeatEvery
+	if probe {
+		n.lastProbe = now
+	}
+
+	var sends []Send
+	for address, since := range n.watched {
+		c := n.heard[address]
+		silent := now.Sub(later(since, c.at))
+		if silent > DeadAfter {
+			n.bury(now, address, c)
+			continue
+		}
+		if silent > SuspectAfter && probe {
+			sends = append(sends, Send{To: address, Message: n.message(Probe)})
+		}
+	}
+	return sends
+}
+
+func (n *Node) bury(now time.Time, address netip.AddrPort, c contact) {
+	m, ok := n.roster.Get(address)
+	if !ok || m.State == roster.Dead {
+		return
+	}
+	m.Sequence = max(m.Sequence, c.sequence)
+	m.State = roster.Dead
+	delete(n.heard, address)
+	n.merge(now, m)
+}
+
+// spread queues a record to be pushed a number of times that grows with the logarithm of the fleet.
+func (n *Node) spread(address netip.AddrPort) {
+	n.rumours[address] = spreadFactor * bits.Len(uint(len(n.ring)+1))
+}
+
+func (n *Node) push(now time.Time) []Send {
+	if len(n.rumours) == 0 || now.Sub(n.lastPush) < pushEvery {
+		return nil
+	}
+	n.lastPush = now
+
+	message := n.message(Push)
+	for address, left := range n.rumours {
+		if len(message.Members) == maxMembers {
+			break
+		}
+		if m, ok := n.roster.Get(address); ok {
+			message.Members = append(message.Members, m)
+		}
+		n.rumours[address] = left - 1
+		if left <= 1 {
+			delete(n.rumours, address)
+		}
+	}
+
+	var sends []Send
+	for _, to := range n.peers(fanout) {
+		sends = append(sends, Send{To: to, Message: message})
+	}
+	return sends
+}
+
+func (n *Node) digest(now time.Time) []Send {
+	if now.Sub(n.lastDigest) < digestEvery {
+		return nil
+	}
+	n.lastDigest = now
+
+	var sends []Send
+	for _, to := range n.peers(1) {
+		sends = append(sends, Send{To: to, Message: n.digestMessage(false)})
+	}
+	return sends
+}
+
+// peers returns up to count other balancers at random.
+func (n *Node) peers(count int) []netip.AddrPort {
+	others := slices.DeleteFunc(addresses(n.ring), func(a netip.AddrPort) bool { return a == n.self.Address })
+	n.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(count, len(others))]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/coordination/route/router.go
@@ -0,0 +1,176 @@
+package route
+
+import (
+	"math"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/dchest/siphash"
+
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/connid"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+// MaxRanks is the largest number of agents ranked for a new flow.
+const MaxRanks = 4
+
+// Verdict is what becomes of a datagram.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Drop throws the datagram away; Reason says why.
+	Drop Verdict = iota
+	// Established sends it to the agent that its connection ID names.
+	Established
+	// Opening sends it to the first of the ranked agents.
+	Opening
+	// Reset answers it with a stateless reset; Reason says why.
+	Reset
+)
+
+// Reason says why a datagram was dropped or reset.
+type Reason string
+
+// The reasons.
+const (
+	UnknownID      Reason = "unknownConnectionId"
+	ForgedID       Reason = "forgedConnectionId"
+	WrongService   Reason = "wrongService"
+	UnknownService Reason = "unknownService"
+	NoUpstream     Reason = "noUpstream"
+	DomainOut      Reason = "domainOut"
+	AgentDead      Reason = "agentDead"
+)
+
+// Decision is the verdict on one datagram.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+
+	// Ranks are the agents to try in order; only the first Count are set.
+	// An Established decision has one.
+	Ranks [MaxRanks]netip.AddrPort
+	Count int
+}
+
+// Packet is what is known of a caller's datagram.
+type Packet struct {
+	// Destination is the destination connection ID.
+	Destination []byte
+
+	// Service is the number of the service at whose address the datagram arrived.
+	Service uint32
+
+	// First says that the packet may open a flow.
+	First bool
+}
+
+// Router decides where datagrams go. Decide is safe for concurrent use with Update.
+type Router struct {
+	ids    *connid.Codec
+	k0, k1 uint64
+	table  atomic.Pointer[table]
+}
+
+// New returns a Router that knows no service yet.
+func New(keys keyset.Set, ids *connid.Codec) *Router {
+	r := &Router{ids: ids}
+	r.k0, r.k1 = keyWords(keyset.Derive(keys.Cluster, "rendezvous", 16))
+	r.Update(&config.Config{}, nil)
+	return r
+}
+
+// Update takes a new configuration and list of members into use.
+func (r *Router) Update(cfg *config.Config, members []roster.Member) {
+	r.table.Store(newTable(cfg, members))
+}
+
+// Decide returns the verdict on one datagram. It does not allocate.
+func (r *Router) Decide(p Packet) Decision {
+	t := r.table.Load()
+	s, known := t.services[p.Service]
+	if !known {
+		return Decision{Reason: UnknownService}
+	}
+
+	target, err := r.ids.Open(p.Destination)
+	if err == nil {
+		return decideEstablished(t, p, target)
+	}
+
+	if p.First {
+		return r.decideNew(s, p.Destination)
+	}
+
+	if err == connid.ErrForged {
+		return Decision{Reason: ForgedID}
+	}
+	return Decision{Reason: UnknownID}
+}
+
+// Candidates returns how many agents may take new flows of a service.
+func (r *Router) Candidates(service uint32) int {
+	s, known := r.table.Load().services[service]
+	if !known {
+		return 0
+	}
+	return len(s.candidates)
+}
+
+func decideEstablished(t *table, p Packet, target connid.Target) Decision {
+	if target.Service != p.Service {
+		return Decision{Reason: WrongService}
+	}
+	if t.out[target.Domain] {
+		return Decision{Verdict: Reset, Reason: DomainOut}
+	}
+	if t.agents[target.Agent].dead {
+		return Decision{Verdict: Reset, Reason: AgentDead}
+	}
+
+	d := Decision{Verdict: Established, Count: 1}
+	d.Ranks[0] = target.Agent
+	return d
+}
+
+// decideNew ranks the agents by weighted rendezvous hashing (Thaler and
+// Ravishankar, 1998; weights by the logarithm method).
+func (r *Router) decideNew(s *service, id []byte) Decision {
+	var scores [MaxRanks]float64
+	d := Decision{Verdict: Opening}
+	hash := siphash.Hash(r.k0, r.k1, id)
+
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		d.insert(&scores, c.address, score(hash, c))
+	}
+
+	if d.Count == 0 {
+		return Decision{Reason: NoUpstream}
+	}
+	return d
+}
+
+func (d *Decision) insert(scores *[MaxRanks]float64, address netip.AddrPort, s float64) {
+	if d.Count == MaxRanks && s <= scores[MaxRanks-1] {
+		return
+	}
+
+	place := min(d.Count, MaxRanks-1)
+	for place > 0 && scores[place-1] < s {
+		scores[place] = scores[place-1]
+		d.Ranks[place] = d.Ranks[place-1]
+		place--
+	}
+	scores[place] = s
+	d.Ranks[place] = address
+	d.Count = min(d.Count+1, MaxRanks)
+}
+
+func score(hash uint64, c *candidate) float64 {
+	uniform := (float64(mix(hash^c.seed)>>11) + 0.5) / (1 << 53)
+	return -c.weight / math.Log(uniform)
+}
--- /dev/null
+++ b/internal/protocol/encap/encap.go
@@ -0,0 +1,144 @@
+// Package encap carries callers' datagrams between balancers and agents.
+//
+// The header is a fixed layout, since it is written and read once for each
+// datagram:
+//
+//	byte 0       kind
+//	byte 1       number of further ranks, 0 to MaxRanks
+//	bytes 2-4    service number
+//	byte 5       index of the service's address that the caller uses
+//	bytes 6-21   caller's address, IPv4 mapped into IPv6
+//	bytes 22-23  caller's port
+//	6 each       IPv4 address and port of the further ranks
+//	8 bytes      SipHash tag over all of the above
+//
+// The rest is the caller's datagram, which QUIC itself protects.
+package encap
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/dchest/siphash"
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+)
+
+// Kind tells what a datagram between the system's processes carries.
+type Kind byte
+
+// The kinds of datagram.
+const (
+	// Forward goes from a balancer to an agent.
+	Forward Kind = 1
+	// Answer goes from an agent to a balancer, which relays it to the caller.
+	Answer Kind = 2
+	// Control carries a sealed message; see package sealed.
+	Control Kind = 3
+)
+
+const (
+	// MaxRanks is the largest number of further agents that a first datagram names.
+	MaxRanks = 3
+
+	// MaxHeader is the length of the longest header, in bytes.
+	MaxHeader = fixedLength + MaxRanks*rankLength + tagLength
+
+	fixedLength = 24
+	rankLength  = 6
+	tagLength   = 8
+)
+
+// Sentinel errors of Open.
+var (
+	ErrTruncated = errors.New("encapsulated datagram is truncated")
+	ErrKind      = errors.New("encapsulated datagram has an unknown kind")
+	ErrRanks     = errors.New("encapsulated datagram names too many ranks")
+	ErrForged    = errors.New("encapsulated datagram fails its check")
+)
+
+// Envelope is the header of an encapsulated datagram.
+type Envelope struct {
+	Kind Kind
+
+	// Service is the number of the service, at most connid.MaxService.
+	Service uint32
+
+	// Address is the index of the service's address that the caller uses.
+	Address uint8
+
+	// Caller is where the datagram came from or goes to.
+	Caller netip.AddrPort
+
+	// Ranks are the agents that may take a first datagram, in order, when the receiver may not.
+	// Only the first Count are set.
+	Ranks [MaxRanks]netip.AddrPort
+
+	// Count is the number of Ranks, at most MaxRanks.
+	Count int
+}
+
+// Codec seals and opens envelopes with the cluster's key.
+type Codec struct {
+	k0, k1 uint64
+}
+
+// New returns a Codec for a set of keys.
+func New(set keyset.Set) *Codec {
+	key := keyset.Derive(set.Cluster, "encapsulation tag", 16)
+	return &Codec{k0: binary.LittleEndian.Uint64(key), k1: binary.LittleEndian.Uint64(key[8:])}
+}
+
+// Append adds the envelope and the payload to dst.
+func (c *Codec) Append(dst []byte, e *Envelope, payload []byte) []byte {
+	start := len(dst)
+	dst = append(dst, byte(e.Kind), byte(e.Count), byte(e.Service>>16), byte(e.Service>>8), byte(e.Service), e.Address)
+
+	caller := e.Caller.Addr().As16()
+	dst = append(dst, caller[:]...)
+	dst = binary.BigEndian.AppendUint16(dst, e.Caller.Port())
+
+	for _, rank := range e.Ranks[:e.Count] {
+		address := rank.Addr().As4()
+		dst = append(dst, address[:]...)
+		dst = binary.BigEndian.AppendUint16(dst, rank.Port())
+	}
+
+	tag := siphash.Hash(c.k0, c.k1, dst[start:])
+	dst = binary.BigEndian.AppendUint64(dst, tag)
+	return append(dst, payload...)
+}
+
+// Open reads an envelope and returns the payload, which aliases the datagram.
+func (c *Codec) Open(datagram []byte) (Envelope, []byte, error) {
+	if len(datagram) < fixedLength+tagLength {
+		return Envelope{}, nil, ErrTruncated
+	}
+
+	e := Envelope{Kind: Kind(datagram[0]), Count: int(datagram[1])}
+	if e.Kind != Forward && e.Kind != Answer {
+		return Envelope{}, nil, ErrKind
+	}
+	if e.Count > MaxRanks {
+		return Envelope{}, nil, ErrRanks
+	}
+
+	end := fixedLength + e.Count*rankLength
+	if len(datagram) < end+tagLength {
+		return Envelope{}, nil, ErrTruncated
+	}
+	if siphash.Hash(c.k0, c.k1, datagram[:end]) != binary.BigEndian.Uint64(datagram[end:]) {
+		return Envelope{}, nil, ErrForged
+	}
+
+	e.Service = uint32(datagram[2])<<16 | uint32(datagram[3])<<8 | uint32(datagram[4])
+	e.Address = datagram[5]
+	caller := netip.AddrFrom16([16]byte(datagram[6:22])).Unmap()
+	e.Caller = netip.AddrPortFrom(caller, binary.BigEndian.Uint16(datagram[22:]))
+	for i := range e.Count {
+		rank := datagram[fixedLength+i*rankLength:]
+		e.Ranks[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte(rank[:4])), binary.BigEndian.Uint16(rank[4:]))
+	}
+	return e, datagram[end+tagLength:], nil
+}
--- /dev/null
+++ b/internal/protocol/header/header.go
@@ -0,0 +1,96 @@
+// Package header reads the version-independent fields of QUIC packets (RFC 8999).
+package header
+
+import (
+	"encoding/binary"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/connid"
+)
+
+const (
+	longForm = 0x80
+	fixedBit = 0x40
+
+	typeMask    = 0x30
+	typeInitial = 0x00
+	typeZeroRTT = 0x10
+
+	version1 = 1
+
+	minLong    = 7 // flags, version, two empty connection IDs
+	maxIDBytes = 20
+	minFirstID = 8 // RFC 9000, section 7.2
+)
+
+// Sentinel errors of Parse.
+var (
+	ErrTruncated = errors.New("QUIC packet is truncated")
+	ErrNotQUIC   = errors.New("packet is not QUIC")
+	ErrIDLength  = errors.New("QUIC connection ID has an impossible length")
+)
+
+// Packet is what a balancer needs to know of a QUIC packet.
+type Packet struct {
+	// Destination is the destination connection ID. It aliases the datagram.
+	Destination []byte
+
+	// Long says that the packet has a long header.
+	Long bool
+
+	// First says that the packet can open a flow: an Initial or 0-RTT packet, or one of an unknown version.
+	First bool
+}
+
+// Parse reads the first packet of a datagram. Short headers are taken to carry
+// a connection ID of connid.Length bytes.
+func Parse(datagram []byte) (Packet, error) {
+	if len(datagram) == 0 {
+		return Packet{}, ErrTruncated
+	}
+
+	if datagram[0]&longForm != 0 {
+		return parseLong(datagram)
+	}
+
+	if datagram[0]&fixedBit == 0 {
+		return Packet{}, ErrNotQUIC
+	}
+
+	if len(datagram) < 1+connid.Length {
+		return Packet{}, ErrTruncated
+	}
+	return Packet{Destination: datagram[1 : 1+connid.Length]}, nil
+}
+
+func parseLong(datagram []byte) (Packet, error) {
+	if len(datagram) < minLong {
+		return Packet{}, ErrTruncated
+	}
+
+	length := int(datagram[5])
+	if length > maxIDBytes {
+		return Packet{}, ErrIDLength
+	}
+
+	if len(datagram) < minLong+length {
+		return Packet{}, ErrTruncated
+	}
+
+	version := binary.BigEndian.Uint32(datagram[1:])
+	if version == version1 && datagram[0]&fixedBit == 0 {
+		return Packet{}, ErrNotQUIC
+	}
+
+	first := version != version1 || isFirst(datagram[0])
+	if first && length < minFirstID {
+		return Packet{}, ErrIDLength
+	}
+	return Packet{Destination: datagram[6 : 6+length], Long: true, First: first}, nil
+}
+
+func isFirst(flags byte) bool {
+	kind := flags & typeMask
+	return kind == typeInitial || kind == typeZeroRTT
+}
--- /dev/null
+++ b/internal/standin/caller/report.go
@@ -0,0 +1,134 @@
+package caller
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/coriandershift/coriandershift/internal/standin/upstrm"
+)
+
+// Report is what the users and the upstreams saw, taken together.
+type Report struct {
+	Requests  int
+	Whole     int
+	Refused   int
+	Broken    int
+	Misrouted int
+
+	// GivenUp is the number of requests that ended in a failure domain taken out; not among Broken.
+	GivenUp int
+
+	// Repeated is the number of idempotency keys that ran more than once.
+	Repeated int
+
+	// Overloads is the number of requests that an upstream got above what it bears.
+	Overloads int
+
+	// Imbalance is the largest ratio, over the services, of the most requests of one upstream to the mean.
+	Imbalance float64
+
+	// Details counts the kinds of failures.
+	Details map[string]int
+}
+
+// NewReport returns the report. Broken requests of the failure domains named are counted as given up.
+func NewReport(results []Result, stats []upstrm.Stats, out []string) Report {
+	r := Report{Requests: len(results), Details: map[string]int{}, Imbalance: imbalance(stats)}
+
+	seenIn := map[string]string{}
+	for _, s := range stats {
+		r.Misrouted += s.Misrouted
+		r.Overloads += s.Overloads
+		for _, id := range s.Seen {
+			seenIn[id] = s.Domain
+		}
+		for _, runs := range s.Runs {
+			if runs > 1 {
+				r.Repeated++
+			}
+		}
+	}
+	r.Repeated += runElsewhere(stats)
+
+	for _, result := range results {
+		r.count(result, seenIn[result.ID], out)
+	}
+	return r
+}
+
+// OK reports whether nothing went wrong that may not.
+func (r *Report) OK() bool {
+	return r.Broken == 0 && r.Misrouted == 0 && r.Repeated == 0 && r.Whole > 0
+}
+
+// String returns the report as one line.
+func (r *Report) String() string {
+	return fmt.Sprintf("requests=%d whole=%d refused=%d broken=%d misrouted=%d repeated=%d imbalance=%.2f givenup=%d overloads=%d",
+		r.Requests, r.Whole, r.Refused, r.Broken, r.Misrouted, r.Repeated, r.Imbalance, r.GivenUp, r.Overloads)
+}
+
+// Failures returns a line for each kind of failure.
+func (r *Report) Failures() []string {
+	var lines []string
+	for detail, count := range r.Details {
+		lines = append(lines, fmt.Sprintf("%6d %s", count, detail))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
+func (r *Report) count(result Result, seenIn string, out []string) {
+	switch result.Verdict {
+	case Whole:
+		r.Whole++
+		return
+	case Refused:
+		r.Refused++
+	case Misrouted:
+		r.Misrouted++
+	case Broken:
+		if slices.Contains(out, result.Domain) || slices.Contains(out, seenIn) {
+			r.GivenUp++
+		} else {
+			r.Broken++
+		}
+	}
+	detail, _, _ := strings.Cut(result.Detail, "\n")
+	r.Details[string(result.Verdict)+": "+detail]++
+}
+
+// runElsewhere counts the keys that ran at more than one upstream.
+func runElsewhere(stats []upstrm.Stats) int {
+	places := map[string]int{}
+	for _, s := range stats {
+		for key := range s.Runs {
+			places[key]++
+		}
+	}
+
+	repeated := 0
+	for _, count := range places {
+		if count > 1 {
+			repeated++
+		}
+	}
+	return repeated
+}
+
+func imbalance(stats []upstrm.Stats) float64 {
+	most, sum, count := map[string]int{}, map[string]int{}, map[string]int{}
+	for _, s := range stats {
+		most[s.Service] = max(most[s.Service], s.Requests)
+		sum[s.Service] += s.Requests
+		count[s.Service]++
+	}
+
+	worst := 0.0
+	for service := range most {
+		if sum[service] > 0 {
+			worst = max(worst, float64(most[service]*count[service])/float64(sum[service]))
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/state/config/change.go
@@ -0,0 +1,201 @@
+package config
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrRefused reports a change that would do harm and was not insisted on.
+var ErrRefused = errors.New("change refused")
+
+// Verb tells what an Operation does.
+type Verb string
+
+// The verbs.
+const (
+	PutService    Verb = "putService"
+	RemoveService Verb = "removeService"
+	PutDomain     Verb = "putDomain"
+	TakeOut       Verb = "takeOut"
+	BringBack     Verb = "bringBack"
+	Drain         Verb = "drain"
+	Undrain       Verb = "undrain"
+	SetLimit      Verb = "setLimit"
+)
+
+// Operation is one step of a change.
+type Operation struct {
+	Verb Verb `json:"verb"`
+
+	// Name is that of the service, domain or upstream; unused by PutService and PutDomain.
+	Name string `json:"name,omitempty"`
+
+	// Service is set for PutService.
+	Service *Service `json:"service,omitempty"`
+
+	// Domain is set for PutDomain.
+	Domain *Domain `json:"domain,omitempty"`
+
+	// Limit is the name of a field of Limits, and Value its new value, for SetLimit.
+	Limit string `json:"limit,omitempty"`
+	Value int64  `json:"value,omitempty"`
+}
+
+// Change is a set of operations that take effect together or not at all.
+type Change struct {
+	// ID is unique to the change, so that it takes effect once even if it is sent again.
+	ID string `json:"id"`
+
+	// Base is the revision that the operator saw; 0 lets the change apply to any.
+	Base uint64 `json:"base,omitempty"`
+
+	// Force insists on a change that would be refused as harmful.
+	Force bool `json:"force,omitempty"`
+
+	Operations []Operation `json:"operations"`
+}
+
+// Apply returns the next revision. It returns ErrInvalid or ErrRefused and
+// leaves the configuration as it is when any operation cannot be carried out.
+func (c *Config) Apply(change Change) (*Config, error) {
+	if len(change.Operations) == 0 {
+		return nil, errors.WithMessage(ErrInvalid, "change without operations")
+	}
+
+	next := c.Clone()
+	for _, operation := range change.Operations {
+		if err := next.apply(operation); err != nil {
+			return nil, err
+		}
+	}
+
+	next.sort()
+	next.Revision++
+	if err := next.Validate(); err != nil {
+		return nil, err
+	}
+	if !change.Force {
+		return next, next.checkHarm()
+	}
+	return next, nil
+}
+
+func (c *Config) apply(o Operation) error {
+	switch o.Verb {
+	case PutService:
+		return c.putService(o.Service)
+	case RemoveService:
+		return c.removeService(o.Name)
+	case PutDomain:
+		return c.putDomain(o.Domain)
+	case TakeOut:
+		return c.setOut(o.Name, true)
+	case BringBack:
+		return c.setOut(o.Name, false)
+	case Drain:
+		return c.drain(o.Name)
+	case Undrain:
+		return c.undrain(o.Name)
+	case SetLimit:
+		return c.setLimit(o.Name, o.Limit, o.Value)
+	}
+	return errors.WithMessagef(ErrInvalid, "unknown verb %q", o.Verb)
+}
+
+func (c *Config) putService(s *Service) error {
+	if s == nil {
+		return errors.WithMessage(ErrInvalid, "putService without a service")
+	}
+	c.Services = slices.DeleteFunc(c.Services, func(other Service) bool { return other.Name == s.Name })
+	c.Services = append(c.Services, *s)
+	return nil
+}
+
+func (c *Config) removeService(name string) error {
+	if _, ok := c.Service(name); !ok {
+		return errors.WithMessagef(ErrInvalid, "service %q does not exist", name)
+	}
+	c.Services = slices.DeleteFunc(c.Services, func(s Service) bool { return s.Name == name })
+	return nil
+}
+
+func (c *Config) putDomain(d *Domain) error {
+	if d == nil {
+		return errors.WithMessage(ErrInvalid, "putDomain without a failure domain")
+	}
+	c.Domains = slices.DeleteFunc(c.Domains, func(other Domain) bool { return other.Name == d.Name })
+	c.Domains = append(c.Domains, *d)
+	return nil
+}
+
+func (c *Config) setOut(name string, out bool) error {
+	i := slices.IndexFunc(c.Domains, func(d Domain) bool { return d.Name == name })
+	if i < 0 {
+		return errors.WithMessagef(ErrInvalid, "failure domain %q does not exist", name)
+	}
+	if c.Domains[i].Out == out {
+		return errors.WithMessagef(ErrInvalid, "failure domain %q: out is %t already", name, out)
+	}
+	c.Domains[i].Out = out
+	return nil
+}
+
+func (c *Config) drain(name string) error {
+	if name == "" || slices.Contains(c.Drained, name) {
+		return errors.WithMessagef(ErrInvalid, "upstream %q is drained already or has no name", name)
+	}
+	c.Drained = append(c.Drained, name)
+	return nil
+}
+
+func (c *Config) undrain(name string) error {
+	i := slices.Index(c.Drained, name)
+	if i < 0 {
+		return errors.WithMessagef(ErrInvalid, "upstream %q is not drained", name)
+	}
+	c.Drained = slices.Delete(c.Drained, i, i+1)
+	return nil
+}
+
+func (c *Config) setLimit(name, limit string, value int64) error {
+	i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return errors.WithMessagef(ErrInvalid, "service %q does not exist", name)
+	}
+
+	limits := &c.Services[i].Limits
+	switch limit {
+	case "slots":
+		limits.Slots = int(value)
+	case "connections":
+		limits.Connections = int(value)
+	case "coldSlots":
+		limits.ColdSlots = int(value)
+	case "queue":
+		limits.Queue = int(value)
+	case "warmUpMs":
+		limits.WarmUp = Milliseconds(value)
+	default:
+		return errors.WithMessagef(ErrInvalid, "service %q has no limit %q", name, limit)
+	}
+	return nil
+}
+
+func (c *Config) sort() {
+	slices.SortFunc(c.Domains, func(a, b Domain) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.Sort(c.Drained)
+}
+
+// checkHarm returns ErrRefused if no failure domain would be left.
+func (c *Config) checkHarm() error {
+	if len(c.Domains) == 0 {
+		return nil
+	}
+	if slices.ContainsFunc(c.Domains, func(d Domain) bool { return !d.Out }) {
+		return nil
+	}
+	return errors.WithMessage(ErrRefused, "every failure domain would be out; use --force to insist")
+}
--- /dev/null
+++ b/internal/state/config/parts.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	serviceParts = 64
+	basePart     = "base"
+)
+
+// Part is a piece of a configuration, named by its content.
+type Part struct {
+	// Name tells which piece it is.
+	Name string
+
+	// Hash is the hexadecimal SHA-256 of Data.
+	Hash string
+
+	Data []byte
+}
+
+// Split cuts the configuration into parts: one for the failure domains and
+// drained upstreams, the others for the services by a hash of their names.
+// An unchanged part keeps its hash from one revision to the next.
+func (c *Config) Split() []Part {
+	parts := []Part{newPart(basePart, &Config{Domains: c.Domains, Drained: c.Drained})}
+
+	var buckets [serviceParts]Config
+	for _, s := range c.Services {
+		bucket := &buckets[xxhash.Sum64String(s.Name)%serviceParts]
+		bucket.Services = append(bucket.Services, s)
+	}
+	for i := range buckets {
+		if len(buckets[i].Services) > 0 {
+			parts = append(parts, newPart(fmt.Sprintf("services/%02d", i), &buckets[i]))
+		}
+	}
+	return parts
+}
+
+// Join puts parts together. It returns ErrInvalid if a part is not what its hash says.
+func Join(revision uint64, parts []Part) (*Config, error) {
+	c := &Config{Revision: revision}
+	for _, p := range parts {
+		if HashOf(p.Data) != p.Hash {
+			return nil, errors.WithMessagef(ErrInvalid, "part %q is not what its hash says", p.Name)
+		}
+
+		var piece Config
+		if err := json.Unmarshal(p.Data, &piece); err != nil {
+			return nil, errors.WithMessagef(ErrInvalid, "part %q: %v", p.Name, err)
+		}
+		c.Domains = append(c.Domains, piece.Domains...)
+		c.Drained = append(c.Drained, piece.Drained...)
+		c.Services = append(c.Services, piece.Services...)
+	}
+
+	c.sort()
+	return c, c.Validate()
+}
+
+// HashOf returns the hexadecimal SHA-256 of data.
+func HashOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+func newPart(name string, piece *Config) Part {
+	data, err := json.Marshal(piece)
+	if err != nil {
+		panic(err) // plain data always marshals
+	}
+	return Part{Name: name, Hash: HashOf(data), Data: data}
+}
--- /dev/null
+++ b/internal/state/connid/connid.go
@@ -0,0 +1,157 @@
+// Package connid encodes where a flow belongs into its QUIC connection ID.
+//
+// The layout follows the idea of QUIC-LB (draft-ietf-quic-load-balancers): the
+// server's identity is encrypted into the connection ID, so that any balancer
+// that has the key can route a datagram without state.
+//
+//	byte 0      key phase (2 bits), random (6 bits)
+//	bytes 1-16  one AES block: domain, service, agent address, incarnation, nonce
+//	bytes 17-19 SipHash check over bytes 0-16
+package connid
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"encoding/binary"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/dchest/siphash"
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+)
+
+const (
+	// Length is the length of every connection ID in bytes, the longest that QUIC version 1 allows.
+	Length = 20
+
+	// MaxService is the highest service number that fits.
+	MaxService = 1<<24 - 1
+
+	blockStart = 1
+	checkStart = blockStart + aes.BlockSize
+	phaseShift = 6
+)
+
+// Sentinel errors of Open.
+var (
+	ErrLength = errors.New("connection ID has the wrong length")
+	ErrPhase  = errors.New("connection ID names an unknown key phase")
+	ErrForged = errors.New("connection ID fails its check")
+)
+
+// Target is what a connection ID says about its flow.
+type Target struct {
+	// Domain is the number of the agent's failure domain.
+	Domain uint8
+
+	// Service is the number of the service, at most MaxService.
+	Service uint32
+
+	// Agent is the IPv4 address and port of the agent that ends the flow.
+	Agent netip.AddrPort
+
+	// Incarnation tells one start of the agent from the next.
+	Incarnation uint16
+}
+
+// Codec seals and opens connection IDs. It is safe for concurrent use.
+type Codec struct {
+	keys atomic.Pointer[ring]
+}
+
+type ring struct {
+	current uint8
+	phases  [keyset.Phases]*phaseKey
+}
+
+type phaseKey struct {
+	block  cipher.Block
+	k0, k1 uint64
+}
+
+// New returns a Codec with the keys of a set.
+func New(set keyset.Set) *Codec {
+	c := &Codec{}
+	c.Replace(set)
+	return c
+}
+
+// Replace takes a new set of keys into use. IDs made under phases that the new
+// set still holds stay valid.
+func (c *Codec) Replace(set keyset.Set) {
+	keys := &ring{current: set.Current}
+	for phase, master := range set.ConnectionIDs {
+		keys.phases[phase] = newPhaseKey(master)
+	}
+	c.keys.Store(keys)
+}
+
+// Seal makes a connection ID. The nonce makes IDs of the same target differ.
+func (c *Codec) Seal(target Target, nonce uint32) [Length]byte {
+	keys := c.keys.Load()
+	key := keys.phases[keys.current]
+
+	var id [Length]byte
+	id[0] = keys.current<<phaseShift | byte(nonce)&(1<<phaseShift-1)
+
+	block := id[blockStart:checkStart]
+	block[0] = target.Domain
+	block[1] = byte(target.Service >> 16)
+	binary.BigEndian.PutUint16(block[2:], uint16(target.Service))
+	address := target.Agent.Addr().As4()
+	copy(block[4:8], address[:])
+	binary.BigEndian.PutUint16(block[8:], target.Agent.Port())
+	binary.BigEndian.PutUint16(block[10:], target.Incarnation)
+	binary.BigEndian.PutUint32(block[12:], nonce)
+	key.block.Encrypt(block, block)
+
+	check := key.check(id[:checkStart])
+	copy(id[checkStart:], check[:])
+	return id
+}
+
+// Open reads a connection ID. It returns ErrLength, ErrPhase or ErrForged for one that Seal did not make.
+func (c *Codec) Open(id []byte) (Target, error) {
+	if len(id) != Length {
+		return Target{}, ErrLength
+	}
+
+	key := c.keys.Load().phases[id[0]>>phaseShift]
+	if key == nil {
+		return Target{}, ErrPhase
+	}
+
+	if check := key.check(id[:checkStart]); check != [Length - checkStart]byte(id[checkStart:]) {
+		return Target{}, ErrForged
+	}
+
+	var block [aes.BlockSize]byte
+	key.block.Decrypt(block[:], id[blockStart:checkStart])
+	return Target{
+		Domain:      block[0],
+		Service:     uint32(block[1])<<16 | uint32(binary.BigEndian.Uint16(block[2:])),
+		Agent:       netip.AddrPortFrom(netip.AddrFrom4([4]byte(block[4:8])), binary.BigEndian.Uint16(block[8:])),
+		Incarnation: binary.BigEndian.Uint16(block[10:]),
+	}, nil
+}
+
+func newPhaseKey(master []byte) *phaseKey {
+	block, err := aes.NewCipher(keyset.Derive(master, "connection ID block", 16))
+	if err != nil {
+		panic(err) // only a wrong key length fails
+	}
+
+	check := keyset.Derive(master, "connection ID check", 16)
+	return &phaseKey{
+		block: block,
+		k0:    binary.LittleEndian.Uint64(check),
+		k1:    binary.LittleEndian.Uint64(check[8:]),
+	}
+}
+
+func (k *phaseKey) check(data []byte) [Length - checkStart]byte {
+	sum := siphash.Hash(k.k0, k.k1, data)
+	return [Length - checkStart]byte{byte(sum), byte(sum >> 8), byte(sum >> 16)}
+}
--- /dev/null
+++ b/internal/state/dedup/dedup.go
@@ -0,0 +1,86 @@
+// Package dedup remembers the idempotency keys of requests that ran, so that an
+// agent never runs the same one twice while it remembers it.
+package dedup
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// Remembered is the number of keys remembered.
+	Remembered = 16384
+
+	// RememberFor is how long a key is remembered after its request ended.
+	RememberFor = 10 * time.Minute
+
+	// MaxAnswer is the length of the longest answer that is kept, in bytes.
+	MaxAnswer = 4 << 10
+)
+
+// Answer is what a request was answered with.
+type Answer struct {
+	Status int
+	Header http.Header
+
+	// Body is complete; at most MaxAnswer bytes.
+	Body []byte
+}
+
+// Status tells what is known of a key.
+type Status uint8
+
+// The statuses.
+const (
+	// Unknown keys may run.
+	Unknown Status = 0
+	// Running keys belong to a request that has not ended.
+	Running Status = 1
+	// Done keys belong to a request that was answered.
+	Done Status = 2
+	// Lost keys belong to a request that started and whose outcome is unknown.
+	Lost Status = 3
+)
+
+// Table remembers keys. It is not safe for concurrent use.
+type Table struct {
+	known *simplelru.LRU[string, record]
+}
+
+type record struct {
+	status Status
+	answer *Answer
+	until  time.Time
+}
+
+// New returns an empty Table.
+func New() *Table {
+	known, err := simplelru.NewLRU[string, record](Remembered, nil)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
+	return &Table{known: known}
+}
+
+// Begin claims a key. Unless it returns Unknown, the request must not run; the
+// answer is set for a Done key whose answer was kept.
+func (t *Table) Begin(now time.Time, key string) (Status, *Answer) {
+	r, ok := t.known.Get(key)
+	if ok && (r.status == Running || now.Before(r.until)) {
+		return r.status, r.answer
+	}
+	t.known.Add(key, record{status: Running})
+	return Unknown, nil
+}
+
+// Release gives a key back whose request did not run.
+func (t *Table) Release(key string) {
+	t.known.Remove(key)
+}
+
+// End records how a request ended. The answer is nil if it is too long to keep.
+func (t *Table) End(now time.Time, key string, status Status, answer *Answer) {
+	t.known.Add(key, record{status: status, answer: answer, until: now.Add(RememberFor)})
+}
--- /dev/null
+++ b/internal/state/gate/gate.go
@@ -0,0 +1,411 @@
+// Package gate decides which requests an upstream gets and when. It is the only
+// way to the upstream, so that slots, the ramp of a cold upstream and draining
+// are exact. It does no I/O: callers pass the time in and carry out the actions.
+package gate
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Reason says why a request was refused. No byte of a refused request has reached the upstream.
+type Reason string
+
+// The reasons.
+const (
+	QueueFull Reason = "queueFull"
+	Deadline  Reason = "deadline"
+	Evicted   Reason = "evicted"
+	Leaving   Reason = "leaving"
+	FeedLimit Reason = "feedLimit"
+)
+
+// Verdict is what an action tells of a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Start lets a request go to the upstream.
+	Start Verdict = 1
+	// Refuse ends a request that has not started.
+	Refuse Verdict = 2
+)
+
+// Action is a decision about one request.
+type Action struct {
+	ID      uint64
+	Verdict Verdict
+
+	// Reason is set on a refusal.
+	Reason Reason
+
+	// RetryAfter is how long a refused caller should wait, spread so that callers do not return together.
+	RetryAfter time.Duration
+}
+
+// Request asks for work to be admitted.
+type Request struct {
+	// ID is unique among the requests that the gate holds.
+	ID uint64
+
+	// Priority orders the queue: the lowest number goes first.
+	Priority int
+
+	// Feed requests hold a connection, not a slot.
+	Feed bool
+
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+}
+
+// Outcome is how a started request ended.
+type Outcome struct {
+	// Service is the time from start to the first byte of the answer.
+	Service time.Duration
+
+	// Cold says that the upstream showed a sign of a restart: it refused, reset or named a new instance.
+	Cold bool
+
+	// Cancelled says that the caller left, so that Service means nothing.
+	Cancelled bool
+}
+
+// Limits bound the work of the upstream.
+type Limits struct {
+	// Slots is the number of requests that run at once when warm; at least 1.
+	Slots int
+
+	// ColdSlots is the number that a cold upstream bears; 1 to Slots.
+	ColdSlots int
+
+	// Feeds is the number of feeds open at once.
+	Feeds int
+
+	// Queue is the number of requests that may wait.
+	Queue int
+
+	// WarmUp is how long a cold upstream is held to ColdSlots, at the least.
+	WarmUp time.Duration
+}
+
+// LeaveGrace is how long after Leave requests are still admitted.
+const LeaveGrace = 1500 * time.Millisecond
+
+const (
+	slowFactor       = 3 // a service time over this multiple of the baseline is a sign of cold
+	healthyFactor    = 2 // one under this multiple lets the ramp grow
+	baselineWeight   = 0.1
+	baselineSamples  = 8 // service times before the baseline is trusted
+	slowRunOfCold    = 2 // slow answers in a row that mean cold
+	minRetryAfter    = time.Second
+	maxRetryAfter    = 30 * time.Second
+	slowFloor        = 20 * time.Millisecond // differences below this are noise
+	coldRestartGuard = time.Second           // a sign of cold again within this does not restart the ramp
+)
+
+// Gate admits the requests of one upstream. It is not safe for concurrent use.
+type Gate struct {
+	limits  Limits
+	random  *rand.Rand
+	limit   int
+	chilled time.Time // when the upstream was last taken to be cold
+	running map[uint64]running
+	feeds   map[uint64]bool
+	queue   []Request
+	leaving time.Time // zero unless leaving
+
+	baseline time.Duration
+	samples  int
+	slowRun  int
+	healthy  int
+}
+
+type running struct {
+	started time.Time
+}
+
+// New returns a Gate for an upstream that is cold.
+func New(limits Limits, random *rand.Rand, now time.Time) *Gate {
+	return &Gate{
+		limits:  limits,
+		random:  random,
+		limit:   limits.ColdSlots,
+		chilled: now,
+		running: map[uint64]running{},
+		feeds:   map[uint64]bool{},
+	}
+}
+
+// Arrive asks for a request to be admitted. The returned actions may concern other requests too.
+func (g *Gate) Arrive(now time.Time, r Request) []Action {
+	if g.closed(now) {
+		return []Action{g.refuse(r, Leaving)}
+	}
+
+	if r.Feed {
+		return []Action{g.arriveFeed(r)}
+	}
+
+	g.suspect(now)
+	if len(g.running) < g.limit && len(g.queue) == 0 {
+		return []Action{g.start(now, r)}
+	}
+	return g.enqueue(now, r)
+}
+
+// Finish tells that a started request ended.
+func (g *Gate) Finish(now time.Time, id uint64, o Outcome) []Action {
+	if g.feeds[id] {
+		delete(g.feeds, id)
+		return nil
+	}
+
+	if _, ok := g.running[id]; !ok {
+		return nil
+	}
+	delete(g.running, id)
+
+	g.learn(now, o)
+	return g.fill(now)
+}
+
+// Cancel takes back a request that waits. One that has started is left to Finish.
+func (g *Gate) Cancel(id uint64) {
+	g.queue = slices.DeleteFunc(g.queue, func(r Request) bool { return r.ID == id })
+}
+
+// Tick lets the ramp grow and refuses waiting requests whose deadline can no longer be met.
+func (g *Gate) Tick(now time.Time) []Action {
+	return g.fill(now)
+}
+
+// Leave starts to close the gate. Requests that are on their way already are
+// admitted for LeaveGrace; after that what waits and what arrives is refused.
+// Started requests go on.
+func (g *Gate) Leave(now time.Time) {
+	if g.leaving.IsZero() {
+		g.leaving = now
+	}
+}
+
+// Return lets requests in again after Leave; the upstream is taken to be cold.
+func (g *Gate) Return(now time.Time) {
+	if g.leaving.IsZero() {
+		return
+	}
+	g.leaving = time.Time{}
+	g.Chill(now)
+}
+
+// Chill closes the ramp to what a cold upstream bears.
+func (g *Gate) Chill(now time.Time) {
+	g.limit = g.limits.ColdSlots
+	g.chilled = now
+	g.healthy = 0
+	g.slowRun = 0
+}
+
+// SetLimits takes new limits into use. What runs goes on; a lower limit holds for what starts next.
+func (g *Gate) SetLimits(limits Limits) {
+	warm := g.limit >= g.limits.Slots
+	g.limits = limits
+	if warm {
+		g.limit = limits.Slots
+	}
+	g.limit = max(limits.ColdSlots, min(g.limit, limits.Slots))
+}
+
+// Limit returns how many requests may run at once now.
+func (g *Gate) Limit() int {
+	return g.limit
+}
+
+// Running returns how many requests run, feeds not counted.
+func (g *Gate) Running() int {
+	return len(g.running)
+}
+
+// Open returns how many requests and feeds are with the upstream or wait for it.
+func (g *Gate) Open() int {
+	return len(g.running) + len(g.feeds) + len(g.queue)
+}
+
+// Waiting returns how many requests wait.
+func (g *Gate) Waiting() int {
+	return len(g.queue)
+}
+
+func (g *Gate) arriveFeed(r Request) Action {
+	if len(g.feeds) >= g.limits.Feeds {
+		return g.refuse(r, FeedLimit)
+	}
+	g.feeds[r.ID] = true
+	return Action{ID: r.ID, Verdict: Start}
+}
+
+func (g *Gate) enqueue(now time.Time, r Request) []Action {
+	place, _ := slices.BinarySearchFunc(g.queue, r.Priority, func(q Request, priority int) int {
+		if q.Priority <= priority {
+			return -1
+		}
+		return 1
+	})
+
+	if now.Add(g.wait(place) + g.baseline).After(r.Deadline) {
+		return []Action{g.refuse(r, Deadline)}
+	}
+
+	g.queue = slices.Insert(g.queue, place, r)
+	if len(g.queue) <= g.limits.Queue {
+		return g.fill(now)
+	}
+
+	last := g.queue[len(g.queue)-1]
+	g.queue = g.queue[:len(g.queue)-1]
+	reason := Evicted
+	if last.ID == r.ID {
+		reason = QueueFull
+	}
+	return []Action{g.refuse(last, reason)}
+}
+
+func (g *Gate) closed(now time.Time) bool {
+	return !g.leaving.IsZero() && now.Sub(g.leaving) >= LeaveGrace
+}
+
+func (g *Gate) fill(now time.Time) []Action {
+	g.suspect(now)
+	g.grow(now)
+	if g.closed(now) {
+		return g.refuseQueue(Leaving)
+	}
+
+	var actions []Action
+	actions, g.queue = g.expire(now)
+	for len(g.queue) > 0 && len(g.running) < g.limit {
+		next := g.queue[0]
+		g.queue = g.queue[1:]
+		actions = append(actions, g.start(now, next))
+	}
+	return actions
+}
+
+func (g *Gate) refuseQueue(reason Reason) []Action {
+	var actions []Action
+	for _, r := range g.queue {
+		actions = append(actions, g.refuse(r, reason))
+	}
+	g.queue = nil
+	return actions
+}
+
+func (g *Gate) expire(now time.Time) ([]Action, []Request) {
+	var actions []Action
+	kept := g.queue[:0:0]
+	for _, r := range g.queue {
+		if now.Add(g.baseline).After(r.Deadline) {
+			actions = append(actions, g.refuse(r, Deadline))
+			continue
+		}
+		kept = append(kept, r)
+	}
+	return actions, kept
+}
+
+func (g *Gate) start(now time.Time, r Request) Action {
+	g.running[r.ID] = running{started: now}
+	return Action{ID: r.ID, Verdict: Start}
+}
+
+func (g *Gate) refuse(r Request, reason Reason) Action {
+	base := g.wait(len(g.queue))
+	base = max(minRetryAfter, min(base, maxRetryAfter/2))
+	spread := time.Duration(g.random.Int64N(int64(base)))
+	return Action{ID: r.ID, Verdict: Refuse, Reason: reason, RetryAfter: base + spread}
+}
+
+// wait estimates how long a request at a place in the queue waits for a slot.
+func (g *Gate) wait(place int) time.Duration {
+	return g.baseline * time.Duration(place) / time.Duration(g.limit)
+}
+
+func (g *Gate) learn(now time.Time, o Outcome) {
+	if o.Cancelled {
+		return
+	}
+
+	if o.Cold {
+		g.chillOnce(now)
+		return
+	}
+
+	if g.slow(o.Service) {
+		g.slowRun++
+		g.healthy = 0
+		if g.slowRun >= slowRunOfCold {
+			g.chillOnce(now)
+		}
+		return
+	}
+
+	g.slowRun = 0
+	g.observe(o.Service)
+}
+
+func (g *Gate) observe(service time.Duration) {
+	g.samples++
+	weight := max(baselineWeight, 1/float64(g.samples))
+	g.baseline += time.Duration(weight * float64(service-g.baseline))
+	if service <= healthyFactor*g.baseline+slowFloor {
+		g.healthy++
+	}
+}
+
+func (g *Gate) slow(service time.Duration) bool {
+	return g.samples >= baselineSamples && service > slowFactor*g.baseline+slowFloor
+}
+
+// suspect takes the upstream to be cold when running requests take too long,
+// without waiting for their ends.
+func (g *Gate) suspect(now time.Time) {
+	if g.limit > g.limits.ColdSlots && g.overdue(now)+g.slowRun >= slowRunOfCold {
+		g.chillOnce(now)
+	}
+}
+
+func (g *Gate) chillOnce(now time.Time) {
+	if g.limit == g.limits.ColdSlots && now.Sub(g.chilled) < coldRestartGuard {
+		g.healthy = 0
+		return
+	}
+	g.Chill(now)
+}
+
+// grow opens one slot more, after the cold time, once as many healthy answers
+// came in a row as there are slots.
+func (g *Gate) grow(now time.Time) {
+	if g.limit >= g.limits.Slots || now.Sub(g.chilled) < g.limits.WarmUp {
+		return
+	}
+
+	if g.healthy >= g.limit {
+		g.limit++
+		g.healthy = 0
+	}
+}
+
+// overdue counts the running requests that have taken too long already.
+func (g *Gate) overdue(now time.Time) int {
+	if g.samples < baselineSamples {
+		return 0
+	}
+
+	count := 0
+	for _, r := range g.running {
+		if g.slow(now.Sub(r.started)) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/state/keyset/keyset.go
@@ -0,0 +1,114 @@
+// Package keyset holds the secret keys that the system's own processes share.
+package keyset
+
+import (
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+const (
+	// KeyLength is the length of every master key, in bytes.
+	KeyLength = 32
+
+	// Phases is the number of key phases that a connection ID can name.
+	Phases = 4
+)
+
+// ErrInvalid reports a key file that cannot be used.
+var ErrInvalid = errors.New("invalid key file")
+
+// Set is the keys in use: one cluster key and up to Phases connection ID keys.
+type Set struct {
+	// Current is the phase under which new connection IDs are made; 0 to 3.
+	Current uint8
+
+	// ConnectionIDs maps a phase to its master key of KeyLength bytes. It always holds Current.
+	ConnectionIDs map[uint8][]byte
+
+	// Cluster is the master key of messages between the system's processes; KeyLength bytes.
+	Cluster []byte
+}
+
+type file struct {
+	Current       uint8            `json:"current"`
+	ConnectionIDs map[uint8]string `json:"connectionIds"`
+	Cluster       string           `json:"cluster"`
+}
+
+// Load reads a Set from a file of JSON with comments. It returns ErrInvalid for a malformed file.
+func Load(path string) (Set, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Set{}, errors.Wrap(err, "read key file")
+	}
+
+	set, err := Parse(data)
+	return set, errors.WithMessagef(err, "key file %q", path)
+}
+
+// Parse reads a Set from JSON with comments. It returns ErrInvalid for malformed data.
+func Parse(data []byte) (Set, error) {
+	standard, err := hujson.Standardize(append([]byte(nil), data...))
+	if err != nil {
+		return Set{}, errors.WithMessage(ErrInvalid, err.Error())
+	}
+
+	var f file
+	if err := json.Unmarshal(standard, &f); err != nil {
+		return Set{}, errors.WithMessage(ErrInvalid, err.Error())
+	}
+
+	return f.set()
+}
+
+// Derive returns a key of length bytes for one purpose, by HKDF (RFC 5869).
+func Derive(master []byte, purpose string, length int) []byte {
+	key, err := hkdf.Key(sha256.New, master, nil, "coriandershift "+purpose, length)
+	if err != nil {
+		panic(err) // only a length over 255 hashes fails
+	}
+	return key
+}
+
+func (f file) set() (Set, error) {
+	cluster, err := decodeKey("cluster", f.Cluster)
+	if err != nil {
+		return Set{}, err
+	}
+
+	set := Set{Current: f.Current, ConnectionIDs: map[uint8][]byte{}, Cluster: cluster}
+	for phase, text := range f.ConnectionIDs {
+		if phase >= Phases {
+			return Set{}, errors.WithMessagef(ErrInvalid, "connectionIds: phase %d is over %d", phase, Phases-1)
+		}
+
+		key, err := decodeKey("connectionIds", text)
+		if err != nil {
+			return Set{}, err
+		}
+		set.ConnectionIDs[phase] = key
+	}
+
+	if _, ok := set.ConnectionIDs[f.Current]; !ok {
+		return Set{}, errors.WithMessagef(ErrInvalid, "current: phase %d has no key", f.Current)
+	}
+	return set, nil
+}
+
+func decodeKey(field, text string) ([]byte, error) {
+	key, err := hex.DecodeString(text)
+	if err != nil {
+		return nil, errors.WithMessagef(ErrInvalid, "%s: not hexadecimal", field)
+	}
+
+	if len(key) != KeyLength {
+		return nil, errors.WithMessagef(ErrInvalid, "%s: key has %d bytes, want %d", field, len(key), KeyLength)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/internal/state/roster/roster.go
@@ -0,0 +1,235 @@
+// Package roster holds what one process knows of the others: a table of
+// members that merges by maximum, so that the order of updates does not matter.
+package roster
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Role tells what a member does.
+type Role uint8
+
+// The roles.
+const (
+	Balancer Role = 1
+	Agent    Role = 2
+)
+
+// State is the last known state of a member. A higher one wins at the same sequence.
+type State uint8
+
+// The states.
+const (
+	Alive   State = 1
+	Leaving State = 2
+	Dead    State = 3
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
+
+// Buckets is the number of parts into which a digest cuts the table.
+const Buckets = 32
+
+// Member is one process of the system.
+type Member struct {
+	// Address is where the process takes datagrams of the system; it identifies the member.
+	Address netip.AddrPort `cbor:"1,keyasint"`
+
+	Role Role `cbor:"2,keyasint"`
+
+	// Name is the operators' name of the VM.
+	Name string `cbor:"3,keyasint"`
+
+	// Domain is the name of the member's failure domain.
+	Domain string `cbor:"4,keyasint"`
+
+	// Service is the name of the service of an agent's upstream; empty for a balancer.
+	Service string `cbor:"5,keyasint,omitempty"`
+
+	// Admin is where a balancer answers operators and peers; unset for an agent.
+	Admin netip.AddrPort `cbor:"6,keyasint,omitempty"`
+
+	// Incarnation grows with every start of the process: its start in Unix milliseconds.
+	Incarnation uint64 `cbor:"7,keyasint"`
+
+	// Sequence grows with every heartbeat within an incarnation.
+	Sequence uint64 `cbor:"8,keyasint"`
+
+	State State `cbor:"9,keyasint"`
+
+	// Weight is the share of new flows that an agent asks for, 0 to MaxWeight.
+	Weight uint8 `cbor:"10,keyasint"`
+}
+
+// MaxWeight is the weight of an agent whose upstream bears its full load.
+const MaxWeight = 100
+
+// Newer reports whether m replaces other in a merge.
+func (m *Member) Newer(other *Member) bool {
+	if m.Incarnation != other.Incarnation {
+		return m.Incarnation > other.Incarnation
+	}
+	if m.Sequence != other.Sequence {
+		return m.Sequence > other.Sequence
+	}
+	return m.State > other.State
+}
+
+// Same reports whether m and other differ in nothing but their sequence.
+func (m *Member) Same(other *Member) bool {
+	a, b := *m, *other
+	a.Sequence, b.Sequence = 0, 0
+	return a == b
+}
+
+// Roster is a table of members. It is not safe for concurrent use.
+type Roster struct {
+	members   map[netip.AddrPort]*entry
+	version   uint64
+	balancers uint64
+}
+
+type entry struct {
+	member Member
+	died   time.Time
+}
+
+// New returns an empty Roster.
+func New() *Roster {
+	return &Roster{members: map[netip.AddrPort]*entry{}}
+}
+
+// Merge takes a member if it is newer than what is known, and reports whether anything changed.
+func (r *Roster) Merge(m Member, now time.Time) bool {
+	known, ok := r.members[m.Address]
+	if ok && !m.Newer(&known.member) {
+		return false
+	}
+
+	e := &entry{member: m}
+	if m.State == Dead {
+		e.died = now
+	}
+	r.members[m.Address] = e
+	r.version++
+	if m.Role == Balancer && (!ok || !m.Same(&known.member)) {
+		r.balancers++
+	}
+	return true
+}
+
+// Get returns the member at an address.
+func (r *Roster) Get(address netip.AddrPort) (Member, bool) {
+	e, ok := r.members[address]
+	if !ok {
+		return Member{}, false
+	}
+	return e.member, true
+}
+
+// Version grows whenever the table changes.
+func (r *Roster) Version() uint64 {
+	return r.version
+}
+
+// BalancerVersion grows whenever the set of balancers changes.
+func (r *Roster) BalancerVersion() uint64 {
+	return r.balancers
+}
+
+// Len returns the number of members, dead ones included.
+func (r *Roster) Len() int {
+	return len(r.members)
+}
+
+// Members returns all members sorted by address.
+func (r *Roster) Members() []Member {
+	members := make([]Member, 0, len(r.members))
+	for _, e := range r.members {
+		members = append(members, e.member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return a.Address.Compare(b.Address) })
+	return members
+}
+
+// Balancers returns the balancers that are not dead, sorted by address.
+func (r *Roster) Balancers() []Member {
+	return slices.DeleteFunc(r.Members(), func(m Member) bool { return m.Role != Balancer || m.State == Dead })
+}
+
+// Forget drops members that have been dead since before a time, and returns how many.
+func (r *Roster) Forget(before time.Time) int {
+	dropped := 0
+	for address, e := range r.members {
+		if e.member.State == Dead && e.died.Before(before) {
+			delete(r.members, address)
+			dropped++
+		}
+	}
+	if dropped > 0 {
+		r.version++
+	}
+	return dropped
+}
+
+// Digest returns a hash for each bucket of the table. Tables that agree have equal digests.
+func (r *Roster) Digest() [Buckets]uint64 {
+	var digest [Buckets]uint64
+	for _, e := range r.members {
+		digest[bucket(e.member.Address)] ^= e.member.hash()
+	}
+	return digest
+}
+
+// Differing returns the members in the buckets in which the table differs from a digest.
+func (r *Roster) Differing(digest [Buckets]uint64) []Member {
+	own := r.Digest()
+	var members []Member
+	for _, e := range r.members {
+		b := bucket(e.member.Address)
+		if own[b] != digest[b] {
+			members = append(members, e.member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Address.String(), b.Address.String()) })
+	return members
+}
+
+func bucket(address netip.AddrPort) int {
+	return int(Hash(address) % Buckets)
+}
+
+// Hash returns a well-spread hash of an address, the same in every process.
+func Hash(address netip.AddrPort) uint64 {
+	var data [18]byte
+	ip := address.Addr().As16()
+	copy(data[:], ip[:])
+	binary.BigEndian.PutUint16(data[16:], address.Port())
+	return xxhash.Sum64(data[:])
+}
+
+func (m *Member) hash() uint64 {
+	var data [18]byte
+	binary.BigEndian.PutUint64(data[:], m.Incarnation)
+	binary.BigEndian.PutUint64(data[8:], m.Sequence)
+	data[16] = byte(m.State)
+	data[17] = m.Weight
+	return xxhash.Sum64(data[:]) ^ Hash(m.Address)*0x9e3779b97f4a7c15
+}
--- /dev/null
+++ b/internal/transport/admin/client.go
@@ -0,0 +1,120 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/coriandershift/coriandershift/internal/state/config"
+)
+
+const (
+	maxAnswer   = 64 << 20 // bytes
+	idleTimeout = 10 * time.Second
+)
+
+// ErrFailed reports a call that a balancer could not carry out.
+var ErrFailed = errors.New("call failed")
+
+type committed struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Client asks balancers. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a Client that authenticates itself by mutual TLS.
+func NewClient(tlsConfig *tls.Config) *Client {
+	transport := &http3.Transport{
+		TLSClientConfig: tlsConfig,
+		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout},
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Config returns the configuration in force at a balancer.
+func (c *Client) Config(ctx context.Context, admin netip.AddrPort) (*config.Config, error) {
+	cfg := &config.Config{}
+	if err := c.get(ctx, admin, pathConfig, cfg); err != nil {
+		return nil, err
+	}
+	return cfg, cfg.Validate()
+}
+
+// Change has a balancer commit a change. It returns the revision in which it
+// took effect, or the errors of commit.Committer.
+func (c *Client) Change(ctx context.Context, admin netip.AddrPort, change config.Change) (uint64, error) {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode change")
+	}
+
+	var done committed
+	err = c.call(ctx, http.MethodPost, admin, pathChange, body, &done)
+	return done.Revision, err
+}
+
+// Members returns all members that a balancer knows.
+func (c *Client) Members(ctx context.Context, admin netip.AddrPort) ([]MemberStatus, error) {
+	var members []MemberStatus
+	err := c.get(ctx, admin, pathMembers, &members)
+	return members, err
+}
+
+// Applied returns the revision in force at each member that reports to a balancer.
+func (c *Client) Applied(ctx context.Context, admin netip.AddrPort) (map[netip.AddrPort]uint64, error) {
+	var applied map[netip.AddrPort]uint64
+	err := c.get(ctx, admin, pathApplied, &applied)
+	return applied, err
+}
+
+func (c *Client) get(ctx context.Context, admin netip.AddrPort, path string, into any) error {
+	return c.call(ctx, http.MethodGet, admin, path, nil, into)
+}
+
+func (c *Client) call(ctx context.Context, method string, admin netip.AddrPort, path string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "https://"+admin.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "call %s", admin)
+	}
+
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "call %s", admin)
+	}
+	defer response.Body.Close()
+
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return errors.Wrapf(err, "read answer of %s", admin)
+	}
+	if response.StatusCode != http.StatusOK {
+		return problemOf(data)
+	}
+	return errors.Wrapf(json.Unmarshal(data, into), "decode answer of %s", admin)
+}
+
+func problemOf(data []byte) error {
+	var p problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		return errors.WithMessage(ErrFailed, "answer is not understood")
+	}
+
+	for _, k := range kinds {
+		if k.name == p.Kind {
+			return errors.WithMessage(k.err, p.Error)
+		}
+	}
+	return errors.WithMessage(ErrFailed, p.Error)
+}
--- /dev/null
+++ b/internal/transport/admin/server.go
@@ -0,0 +1,246 @@
+// Package admin is the service of balancers for operators and peers: HTTP/3 over
+// QUIC with mutual TLS.
+package admin
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/commit"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+)
+
+const (
+	pathConfig  = "/v1/config"
+	pathChange  = "/v1/change"
+	pathMembers = "/v1/members"
+	pathApplied = "/v1/applied"
+
+	maxChange     = 1 << 20 // bytes
+	changeTimeout = 10 * time.Second
+)
+
+// MemberStatus is one member with what is in force there.
+type MemberStatus struct {
+	Name     string         `json:"name"`
+	Role     string         `json:"role"`
+	Domain   string         `json:"domain"`
+	Service  string         `json:"service,omitempty"`
+	Address  netip.AddrPort `json:"address"`
+	State    string         `json:"state"`
+	Weight   uint8          `json:"weight"`
+	Revision uint64         `json:"revision,omitempty"`
+}
+
+// problem is the body of a refused call.
+type problem struct {
+	Error string `json:"error"`
+
+	// Kind names the sentinel error: invalid, refused, stale, undecided or failed.
+	Kind string `json:"kind"`
+}
+
+// Server answers operators and peers.
+type Server struct {
+	log       *slog.Logger
+	link      *link.Link
+	committer *commit.Committer
+	client    *Client
+}
+
+// NewServer returns a Server. The client asks the other balancers.
+func NewServer(log *slog.Logger, l *link.Link, committer *commit.Committer, client *Client) *Server {
+	return &Server{log: log, link: l, committer: committer, client: client}
+}
+
+// Serve answers calls at an address until the context ends.
+func (s *Server) Serve(ctx context.Context, address netip.AddrPort, tlsConfig *tls.Config) error {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	defer conn.Close()
+
+	server := &http3.Server{TLSConfig: http3.ConfigureTLSConfig(tlsConfig), Handler: s.mux()}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+
+	err = server.Serve(conn)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "serve operators")
+}
+
+// TLS returns the mutual TLS configuration that a certificate names.
+func TLS(c setup.Certificate) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(c.CertFile, c.KeyFile)
+	if err != nil {
+		return nil, errors.Wrapf(err, "load certificate %q", c.CertFile)
+	}
+
+	authority, err := os.ReadFile(c.AuthorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "load authority")
+	}
+
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.Errorf("authority file %q holds no certificate", c.AuthorityFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+		ServerName:   PeerName,
+	}, nil
+}
+
+// PeerName is the DNS name in the certificates between the system's processes.
+const PeerName = "peer.coriandershift"
+
+func (s *Server) mux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathConfig, s.getConfig)
+	mux.HandleFunc("POST "+pathChange, s.postChange)
+	mux.HandleFunc("GET "+pathMembers, s.getMembers)
+	mux.HandleFunc("GET "+pathApplied, s.getApplied)
+	return mux
+}
+
+func (s *Server) getConfig(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.link.Config())
+}
+
+func (s *Server) postChange(w http.ResponseWriter, r *http.Request) {
+	var change config.Change
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&change); err != nil {
+		refuse(w, errors.WithMessage(config.ErrInvalid, err.Error()))
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+
+	revision, err := s.committer.Commit(ctx, change)
+	s.log.Info("change", "id", change.ID, "operations", len(change.Operations), "revision", revision, "error", err)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+
+	s.adopt(ctx)
+	answer(w, http.StatusOK, committed{Revision: revision})
+}
+
+// adopt takes the new configuration into use here at once, without waiting for the watch.
+func (s *Server) adopt(ctx context.Context) {
+	snapshot, err := s.committer.Load(ctx)
+	if err != nil {
+		s.log.Warn("cannot read configuration after change", "error", err)
+		return
+	}
+	s.link.Adopt(snapshot.Config, "change")
+}
+
+// getApplied tells what is in force at the members that report here, and at this balancer.
+func (s *Server) getApplied(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.applied())
+}
+
+func (s *Server) applied() map[netip.AddrPort]uint64 {
+	applied := s.link.Applied()
+	applied[s.link.Self().Address] = s.link.Config().Revision
+	return applied
+}
+
+// getMembers tells of all members, with what the other balancers know is in force where.
+func (s *Server) getMembers(w http.ResponseWriter, r *http.Request) {
+	applied := s.applied()
+	members := s.link.Members()
+	for _, m := range members {
+		if m.Role != roster.Balancer || m.State == roster.Dead || m.Address == s.link.Self().Address {
+			continue
+		}
+		more, err := s.client.Applied(r.Context(), m.Admin)
+		if err != nil {
+			s.log.Warn("cannot ask balancer", "peer", m.Admin, "error", err)
+			continue
+		}
+		merge(applied, more)
+	}
+
+	statuses := []MemberStatus{}
+	for _, m := range members {
+		statuses = append(statuses, statusOf(m, applied[m.Address]))
+	}
+	answer(w, http.StatusOK, statuses)
+}
+
+func statusOf(m roster.Member, revision uint64) MemberStatus {
+	role := "agent"
+	if m.Role == roster.Balancer {
+		role = "balancer"
+	}
+	return MemberStatus{
+		Name: m.Name, Role: role, Domain: m.Domain, Service: m.Service, Address: m.Address,
+		State: m.State.String(), Weight: m.Weight, Revision: revision,
+	}
+}
+
+func merge(into, from map[netip.AddrPort]uint64) {
+	for address, revision := range from {
+		into[address] = max(into[address], revision)
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the client sees a cut answer
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	kind, status := kindOf(err)
+	answer(w, status, problem{Error: err.Error(), Kind: kind})
+}
+
+func kindOf(err error) (string, int) {
+	for _, k := range kinds {
+		if errors.Is(err, k.err) {
+			return k.name, k.status
+		}
+	}
+	return "failed", http.StatusServiceUnavailable
+}
+
+var kinds = []struct {
+	name   string
+	err    error
+	status int
+}{
+	{"invalid", config.ErrInvalid, http.StatusBadRequest},
+	{"refused", config.ErrRefused, http.StatusForbidden},
+	{"stale", commit.ErrStale, http.StatusConflict},
+	{"undecided", commit.ErrUndecided, http.StatusGatewayTimeout},
+}
--- /dev/null
+++ b/internal/transport/agent/agent.go
@@ -0,0 +1,323 @@
+// Package agent runs beside one upstream: it ends the callers' QUIC flows,
+// admits their requests and passes them on.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/encap"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/connid"
+	"github.com/coriandershift/coriandershift/internal/state/dedup"
+	"github.com/coriandershift/coriandershift/internal/state/gate"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/internal/transport/relay"
+)
+
+const (
+	idleTimeout = 30 * time.Second
+	keepAlive   = 5 * time.Second
+	weightEvery = 500 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+
+	// leaveLinger is how long after the last request a stopping agent still
+	// serves its flows, so that answers and GOAWAY reach the callers.
+	leaveLinger = time.Second
+)
+
+// Agent is the system's process beside one upstream.
+type Agent struct {
+	log       *slog.Logger
+	metrics   *metric.Set
+	settings  *setup.Settings
+	link      *link.Link
+	ids       *connid.Codec
+	keys      keyset.Set
+	admission *admission
+	handler   *handler
+	conn      *packetConn
+
+	service     atomic.Pointer[config.Service]
+	connections atomic.Int64
+	leaving     atomic.Bool
+
+	mu     sync.Mutex
+	server *http3.Server
+}
+
+// New returns an Agent on a link.
+func New(settings *setup.Settings, keys keyset.Set, ids *connid.Codec, l *link.Link, log *slog.Logger, metrics *metric.Set) *Agent {
+	a := &Agent{
+		log:       log,
+		metrics:   metrics,
+		settings:  settings,
+		link:      l,
+		ids:       ids,
+		keys:      keys,
+		admission: newAdmission(metrics),
+	}
+	a.handler = &handler{
+		log:       log,
+		metrics:   metrics,
+		domain:    settings.Domain,
+		maxBody:   int64(settings.Agent.MaxBody),
+		service:   a.currentService,
+		admission: a.admission,
+		upstream:  newUpstream(settings.Agent.Upstream),
+		dedup:     dedup.New(),
+	}
+	a.conn = newPacketConn(&packetConn{
+		socket:  l.Conn(),
+		codec:   encap.New(keys),
+		ids:     ids,
+		metrics: metrics,
+		control: l.Control,
+		mayTake: a.mayTake,
+		service: a.serviceNumber,
+	})
+	a.server = a.newServer()
+	return a
+}
+
+// Run serves callers until the context ends, then leaves gracefully.
+func (a *Agent) Run(ctx context.Context) error {
+	certificate, err := tls.LoadX509KeyPair(a.settings.Agent.Public.CertFile, a.settings.Agent.Public.KeyFile)
+	if err != nil {
+		return errors.Wrapf(err, "load certificate %q", a.settings.Agent.Public.CertFile)
+	}
+
+	transport := &quic.Transport{
+		Conn:                  a.conn,
+		ConnectionIDGenerator: newGenerator(a),
+		StatelessResetKey:     (*quic.StatelessResetKey)(relay.ResetKey(a.keys)),
+	}
+	listener, err := transport.ListenEarly(
+		http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}),
+		&quic.Config{MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive, MaxIncomingStreams: 1000},
+	)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	go a.link.Run(background)
+	go a.link.FollowSeeds(background)
+	go a.admission.run(background)
+	go a.follow(background)
+	go a.accept(background, listener)
+
+	<-ctx.Done()
+	a.leave()
+	listener.Close()
+	return errors.Wrap(transport.Close(), "close transport")
+}
+
+// accept serves each new flow with the server of the moment.
+func (a *Agent) accept(ctx context.Context, listener *quic.EarlyListener) {
+	for {
+		conn, err := listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+
+		a.mu.Lock()
+		server := a.server
+		a.mu.Unlock()
+		go a.serve(server, conn)
+	}
+}
+
+func (a *Agent) serve(server *http3.Server, conn *quic.Conn) {
+	a.metrics.Connections.Set(float64(a.connections.Add(1)))
+	defer func() { a.metrics.Connections.Set(float64(a.connections.Add(-1))) }()
+
+	if err := server.ServeQUICConn(conn); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		a.log.Debug("flow ended", "caller", conn.RemoteAddr(), "error", err)
+	}
+}
+
+// follow takes over what the configuration says and tells the balancers how
+// much the upstream bears.
+func (a *Agent) follow(ctx context.Context) {
+	ticker := time.NewTicker(weightEvery)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.link.Changed():
+			a.applyConfig(a.link.Config())
+		case <-ticker.C:
+			a.tellWeight()
+		}
+	}
+}
+
+func (a *Agent) applyConfig(cfg *config.Config) {
+	service, known := cfg.Service(a.settings.Agent.Service)
+	if !known {
+		a.service.Store(nil)
+		return
+	}
+
+	a.admission.setLimits(gate.Limits{
+		Slots:     service.Limits.Slots,
+		ColdSlots: service.Limits.ColdSlots,
+		Feeds:     service.Limits.Connections,
+		Queue:     service.Limits.Queue,
+		WarmUp:    service.Limits.WarmUp.Duration(),
+	})
+	a.service.Store(&service)
+	a.tellWeight()
+
+	drained := cfg.IsDrained(a.settings.Name)
+	if drained && a.leaving.CompareAndSwap(false, true) {
+		a.log.Info("draining", "reason", "configuration")
+		a.startLeaving()
+	}
+	if !drained && a.leaving.CompareAndSwap(true, false) {
+		a.log.Info("returning", "reason", "configuration")
+		a.admission.comeBack()
+		a.link.Return()
+	}
+}
+
+func (a *Agent) tellWeight() {
+	_, share := a.admission.room()
+	a.link.SetWeight(uint8(share * roster.MaxWeight))
+}
+
+// startLeaving announces that no new work is taken and sends GOAWAY to open flows.
+func (a *Agent) startLeaving() {
+	a.link.Leave()
+	a.admission.leave()
+
+	a.mu.Lock()
+	old := a.server
+	a.server = a.newServer()
+	a.mu.Unlock()
+
+	go func() {
+		// Shutdown waits for flows that callers may keep open for as long as they like.
+		ctx, cancel := context.WithTimeout(context.Background(), drainBound(a.settings.Agent.Drain))
+		defer cancel()
+		_ = old.Shutdown(ctx)
+	}()
+}
+
+// leave stops gracefully: it returns once no request is open or the bound on draining is over.
+func (a *Agent) leave() {
+	a.log.Info("leaving", "open", a.admission.open())
+	if a.leaving.CompareAndSwap(false, true) {
+		a.startLeaving()
+	}
+
+	deadline := time.Now().Add(drainBound(a.settings.Agent.Drain))
+	for a.admission.open() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+
+	if open := a.admission.open(); open > 0 {
+		a.log.Warn("requests cut by the bound on draining", "open", open)
+		a.metrics.Broken.WithLabelValues("drainBound").Add(float64(open))
+	}
+	time.Sleep(leaveLinger)
+}
+
+func drainBound(d setup.Duration) time.Duration {
+	const unbounded = 365 * 24 * time.Hour
+	if d == 0 {
+		return unbounded
+	}
+	return time.Duration(d)
+}
+
+func (a *Agent) newServer() *http3.Server {
+	return &http3.Server{Handler: a.handler}
+}
+
+func (a *Agent) mayTake() bool {
+	s := a.service.Load()
+	if s == nil || a.leaving.Load() || a.connections.Load() >= int64(s.Limits.Connections) {
+		return false
+	}
+	room, _ := a.admission.room()
+	return room
+}
+
+func (a *Agent) currentService() (config.Service, bool) {
+	s := a.service.Load()
+	if s == nil {
+		return config.Service{}, false
+	}
+	return *s, true
+}
+
+func (a *Agent) serviceNumber() uint32 {
+	s := a.service.Load()
+	if s == nil {
+		return 0
+	}
+	return s.Number
+}
+
+// generator makes connection IDs that lead every balancer back to this agent.
+type generator struct {
+	agent  *Agent
+	self   netip.AddrPort
+	domain string
+	nonce  atomic.Uint32
+}
+
+func newGenerator(a *Agent) *generator {
+	g := &generator{agent: a, self: a.settings.Address, domain: a.settings.Domain}
+	g.nonce.Store(rand.Uint32())
+	return g
+}
+
+// GenerateConnectionID returns a new connection ID.
+func (g *generator) GenerateConnectionID() (quic.ConnectionID, error) {
+	domain, known := g.agent.link.Config().Domain(g.domain)
+	if !known {
+		return quic.ConnectionID{}, errors.Errorf("failure domain %q is not configured", g.domain)
+	}
+
+	self := g.agent.link.Self()
+	id := g.agent.ids.Seal(connid.Target{
+		Domain:      domain.Number,
+		Service:     g.agent.serviceNumber(),
+		Agent:       g.self,
+		Incarnation: shortIncarnation(self.Incarnation),
+	}, g.nonce.Add(1))
+	return quic.ConnectionIDFromBytes(id[:]), nil
+}
+
+// ConnectionIDLen returns the length of the IDs, in bytes.
+func (g *generator) ConnectionIDLen() int {
+	return connid.Length
+}
+
+func shortIncarnation(incarnation uint64) uint16 {
+	var data [8]byte
+	binary.BigEndian.PutUint64(data[:], incarnation*0x9e3779b97f4a7c15)
+	return binary.BigEndian.Uint16(data[:])
+}
--- /dev/null
+++ b/internal/transport/agent/handler.go
@@ -0,0 +1,341 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/dedup"
+	"github.com/coriandershift/coriandershift/internal/state/gate"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+)
+
+const (
+	headerKey     = "Idempotency-Key"
+	headerOutcome = "Request-Outcome"
+	headerDomain  = "Failure-Domain"
+
+	// outcomeNotRun says that no byte of the request reached the upstream.
+	outcomeNotRun = "not-run"
+	// outcomeUnknown says that the request may have run.
+	outcomeUnknown = "unknown"
+
+	copyBuffer = 32 << 10 // bytes
+	maxKey     = 256      // bytes
+)
+
+// handler serves the callers' requests of one agent.
+type handler struct {
+	log       *slog.Logger
+	metrics   *metric.Set
+	domain    string
+	maxBody   int64
+	service   func() (config.Service, bool)
+	admission *admission
+	upstream  *upstream
+
+	mu    sync.Mutex
+	dedup *dedup.Table
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	service  config.Service
+	class    config.Class
+	started  time.Time
+	deadline time.Time
+	key      string
+	id       uint64
+	sent     int64
+	outcome  string
+}
+
+// ServeHTTP answers one request, or resets its stream when the answer cannot be whole.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerDomain, h.domain)
+
+	x, ok := h.newExchange(w, r)
+	if !ok {
+		return
+	}
+
+	defer func() {
+		h.metrics.ObserveRequest(x.service.Tenant, x.class.Name, x.outcome, time.Since(x.started), x.sent)
+	}()
+
+	if x.key != "" && !h.claim(x) {
+		return
+	}
+	h.admit(x)
+}
+
+func (h *handler) newExchange(w http.ResponseWriter, r *http.Request) (*exchange, bool) {
+	service, known := h.service()
+	if !known {
+		notRun(w, http.StatusServiceUnavailable, "service is not configured", time.Second)
+		return nil, false
+	}
+
+	class, known := service.Classify(r.Method, r.URL.Path)
+	if !known {
+		notRun(w, http.StatusNotFound, "no request class covers this path", 0)
+		return nil, false
+	}
+
+	if r.ContentLength > h.maxBody {
+		notRun(w, http.StatusRequestEntityTooLarge, "request body is too long", 0)
+		return nil, false
+	}
+
+	now := time.Now()
+	x := &exchange{w: w, r: r, service: service, class: class, started: now}
+	x.deadline = now.Add(timeLeft(r, class.Timeout.Duration()))
+	if !safeMethod(r.Method) {
+		x.key = r.Header.Get(headerKey)
+	}
+	if len(x.key) > maxKey {
+		notRun(w, http.StatusBadRequest, "idempotency key is too long", 0)
+		return nil, false
+	}
+	return x, true
+}
+
+// timeLeft returns the time that the caller allows, at most that of the class.
+func timeLeft(r *http.Request, most time.Duration) time.Duration {
+	asked, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 64)
+	if err != nil || asked <= 0 {
+		return most
+	}
+	return min(most, time.Duration(min(asked, most.Milliseconds()))*time.Millisecond)
+}
+
+// claim takes the idempotency key, or answers a repeat.
+func (h *handler) claim(x *exchange) bool {
+	h.mu.Lock()
+	status, answer := h.dedup.Begin(time.Now(), x.key)
+	h.mu.Unlock()
+
+	switch status {
+	case dedup.Unknown:
+		return true
+	case dedup.Done:
+		x.outcome = "repeated"
+		h.replay(x, answer)
+	case dedup.Running:
+		x.outcome = "repeated"
+		refuseRepeat(x.w, "a request with this idempotency key is running")
+	case dedup.Lost:
+		x.outcome = "repeated"
+		refuseRepeat(x.w, "a request with this idempotency key started and its outcome is unknown")
+	}
+	return false
+}
+
+func (h *handler) replay(x *exchange, answer *dedup.Answer) {
+	if answer == nil {
+		refuseRepeat(x.w, "a request with this idempotency key has run; its answer is not kept")
+		return
+	}
+	copyHeader(x.w.Header(), answer.Header)
+	x.w.WriteHeader(answer.Status)
+	_, _ = x.w.Write(answer.Body) // the caller sees a cut answer
+}
+
+func (h *handler) release(x *exchange) {
+	if x.key == "" {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dedup.Release(x.key)
+}
+
+func (h *handler) end(x *exchange, status dedup.Status, answer *dedup.Answer) {
+	if x.key == "" {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dedup.End(time.Now(), x.key, status, answer)
+}
+
+func (h *handler) admit(x *exchange) {
+	id, action, err := h.admission.admit(x.r.Context(), gate.Request{
+		Priority: x.class.Priority,
+		Feed:     x.class.Feed,
+		Deadline: x.deadline,
+	})
+	if err != nil {
+		x.outcome = "cancelled"
+		h.release(x)
+		return
+	}
+
+	if action.Verdict == gate.Refuse {
+		x.outcome = "refused"
+		h.release(x)
+		h.metrics.Refusals.WithLabelValues(x.service.Tenant, x.class.Name, string(action.Reason)).Inc()
+		notRun(x.w, http.StatusServiceUnavailable, "upstream takes no more work: "+string(action.Reason), action.RetryAfter)
+		return
+	}
+
+	x.id = id
+	h.run(x)
+}
+
+// run sends the request to the upstream and its answer to the caller.
+func (h *handler) run(x *exchange) {
+	ctx, cancel := context.WithCancelCause(x.r.Context())
+	defer cancel(nil)
+
+	timer := time.AfterFunc(time.Until(x.deadline), func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
+
+	outcome := gate.Outcome{}
+	defer func() { h.admission.finish(x.id, outcome) }()
+
+	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, h.maxBody)
+	started := time.Now()
+	a := h.upstream.call(ctx, x.r, time.Until(x.deadline))
+	outcome.Service = time.Since(started)
+	outcome.Cold = a.cold
+	outcome.Cancelled = a.err != nil && x.r.Context().Err() != nil
+
+	if a.err != nil {
+		h.fail(x, a, context.Cause(ctx))
+		return
+	}
+	defer a.response.Body.Close()
+
+	if x.class.Feed {
+		timer.Stop()
+	}
+	h.relay(x, a.response)
+}
+
+// fail answers a request that got no answer from the upstream.
+func (h *handler) fail(x *exchange, a attempt, cause error) {
+	if x.r.Context().Err() != nil {
+		x.outcome = "cancelled"
+		h.endUnanswered(x, a.reached)
+		return
+	}
+
+	h.log.Warn("upstream failed", "class", x.class.Name, "reached", a.reached, "error", a.err)
+	h.endUnanswered(x, a.reached)
+	if !a.reached {
+		x.outcome = "refused"
+		h.metrics.Refusals.WithLabelValues(x.service.Tenant, x.class.Name, "unreachable").Inc()
+		notRun(x.w, http.StatusServiceUnavailable, "upstream cannot be reached", time.Second)
+		return
+	}
+
+	x.outcome = "unknown"
+	x.w.Header().Set(headerOutcome, outcomeUnknown)
+	if errors.Is(cause, context.DeadlineExceeded) {
+		http.Error(x.w, "upstream did not answer in time", http.StatusGatewayTimeout)
+		return
+	}
+	http.Error(x.w, "upstream failed during the request", http.StatusBadGateway)
+}
+
+func (h *handler) endUnanswered(x *exchange, reached bool) {
+	if reached {
+		h.end(x, dedup.Lost, nil)
+		return
+	}
+	h.release(x)
+}
+
+// relay streams the answer. The stream ends only after the whole answer; an
+// answer that breaks off resets it.
+func (h *handler) relay(x *exchange, response *http.Response) {
+	for _, name := range hopHeaders {
+		response.Header.Del(name)
+	}
+	copyHeader(x.w.Header(), response.Header)
+	x.w.Header().Set(headerDomain, h.domain)
+	x.w.WriteHeader(response.StatusCode)
+
+	kept, err := h.stream(x, response.Body)
+	if err != nil {
+		x.outcome = "broken"
+		h.end(x, dedup.Lost, nil)
+		h.metrics.Broken.WithLabelValues("answerCut").Inc()
+		h.log.Warn("answer broke off", "class", x.class.Name, "sent", x.sent, "error", err)
+		panic(http.ErrAbortHandler)
+	}
+
+	x.outcome = "whole"
+	h.end(x, dedup.Done, answerOf(response, kept))
+}
+
+// stream copies the body and returns its start, nil if it is longer than dedup.MaxAnswer.
+func (h *handler) stream(x *exchange, body io.Reader) ([]byte, error) {
+	flusher, _ := x.w.(http.Flusher)
+	buffer := make([]byte, copyBuffer)
+	kept := []byte{}
+
+	for {
+		count, err := body.Read(buffer)
+		if count > 0 {
+			if _, err := x.w.Write(buffer[:count]); err != nil {
+				return nil, errors.Wrap(err, "send answer")
+			}
+			x.sent += int64(count)
+			kept = keep(kept, buffer[:count])
+			if x.class.Feed && flusher != nil {
+				flusher.Flush()
+			}
+		}
+		if err == io.EOF {
+			return kept, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
+	}
+}
+
+func keep(kept, more []byte) []byte {
+	if kept == nil || len(kept)+len(more) > dedup.MaxAnswer {
+		return nil
+	}
+	return append(kept, more...)
+}
+
+func answerOf(response *http.Response, kept []byte) *dedup.Answer {
+	if kept == nil {
+		return nil
+	}
+	return &dedup.Answer{Status: response.StatusCode, Header: response.Header, Body: bytes.Clone(kept)}
+}
+
+func notRun(w http.ResponseWriter, status int, text string, retryAfter time.Duration) {
+	w.Header().Set(headerOutcome, outcomeNotRun)
+	if retryAfter > 0 {
+		seconds := int64((retryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	http.Error(w, text, status)
+}
+
+func refuseRepeat(w http.ResponseWriter, text string) {
+	http.Error(w, text, http.StatusConflict)
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+}
--- /dev/null
+++ b/internal/transport/link/link.go
@@ -0,0 +1,315 @@
+// Package link joins a process to the others: it owns the socket for the
+// system's datagrams, drives the membership, and keeps the configuration in
+// force up to date.
+package link
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/coordination/commit"
+	"github.com/coriandershift/coriandershift/internal/coordination/member"
+	"github.com/coriandershift/coriandershift/internal/protocol/gossip"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+)
+
+const (
+	socketBuffer = 4 << 20 // bytes
+	fetchTimeout = 2 * time.Second
+	retryStore   = time.Second
+)
+
+// Fetcher gets a configuration from a peer.
+type Fetcher interface {
+	// Config returns the peer's configuration.
+	Config(ctx context.Context, admin netip.AddrPort) (*config.Config, error)
+}
+
+// Link is one process's connection to the others. It is safe for concurrent use.
+type Link struct {
+	log     *slog.Logger
+	metrics *metric.Set
+	store   coriandershift.Store
+	fetcher Fetcher
+	codec   *gossip.Codec
+	conn    *net.UDPConn
+
+	mu       sync.Mutex
+	node     *member.Node
+	cfg      *config.Config
+	fetching bool
+	changed  chan struct{}
+	version  uint64
+}
+
+// Options are what a Link needs.
+type Options struct {
+	Self    roster.Member
+	Keys    keyset.Set
+	Log     *slog.Logger
+	Metrics *metric.Set
+	Store   coriandershift.Store
+	Fetcher Fetcher
+	Seeds   []netip.AddrPort
+}
+
+// Listen opens the socket of a process.
+func Listen(o Options) (*Link, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Self.Address))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", o.Self.Address)
+	}
+	growBuffers(conn)
+
+	l := &Link{
+		log:     o.Log,
+		metrics: o.Metrics,
+		store:   o.Store,
+		fetcher: o.Fetcher,
+		codec:   gossip.New(o.Keys),
+		conn:    conn,
+		node:    member.New(o.Self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		cfg:     &config.Config{},
+		changed: make(chan struct{}, 1),
+	}
+	l.node.SetSeeds(o.Seeds)
+	return l, nil
+}
+
+// Conn returns the socket. Whoever reads it passes control datagrams to Control.
+func (l *Link) Conn() *net.UDPConn {
+	return l.conn
+}
+
+// Changed is signalled when the configuration or the members have changed.
+func (l *Link) Changed() <-chan struct{} {
+	return l.changed
+}
+
+// Config returns the configuration in force. It must not be changed.
+func (l *Link) Config() *config.Config {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cfg
+}
+
+// Members returns all known members.
+func (l *Link) Members() []roster.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Roster().Members()
+}
+
+// Self returns the process's own record.
+func (l *Link) Self() roster.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Self()
+}
+
+// Applied returns the revision in force at each member that reports to this process.
+func (l *Link) Applied() map[netip.AddrPort]uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Applied()
+}
+
+// SetWeight changes the share of new flows that the process asks for.
+func (l *Link) SetWeight(weight uint8) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SetWeight(weight)
+}
+
+// Leave announces that the process takes nothing new.
+func (l *Link) Leave() {
+	l.mu.Lock()
+	l.node.Leave()
+	l.mu.Unlock()
+	l.tick()
+}
+
+// Return takes Leave back.
+func (l *Link) Return() {
+	l.mu.Lock()
+	l.node.Return()
+	l.mu.Unlock()
+	l.tick()
+}
+
+// Control handles one control datagram.
+func (l *Link) Control(datagram []byte) {
+	l.metrics.ControlBytes.WithLabelValues("in").Add(float64(len(datagram)))
+
+	message, err := l.codec.Open(datagram)
+	if err != nil {
+		l.metrics.Dropped.WithLabelValues(reasonOf(err)).Inc()
+		return
+	}
+
+	l.mu.Lock()
+	sends, offer := l.node.Handle(time.Now(), message)
+	l.mu.Unlock()
+
+	l.send(sends)
+	l.noteMembers()
+	if offer.Revision > 0 {
+		l.fetch(offer)
+	}
+}
+
+// Run drives the membership until the context ends.
+func (l *Link) Run(ctx context.Context) {
+	ticker := time.NewTicker(member.TickEvery)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.tick()
+		}
+	}
+}
+
+// Adopt takes a configuration into use if its revision is higher, and reports whether it did.
+func (l *Link) Adopt(cfg *config.Config, source string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if cfg.Revision <= l.cfg.Revision {
+		return false
+	}
+
+	l.cfg = cfg
+	l.node.SetRevision(cfg.Revision)
+	l.metrics.Revision.Set(float64(cfg.Revision))
+	l.log.Info("configuration in force", "revision", cfg.Revision, "source", source)
+	l.signal()
+	return true
+}
+
+// Watch follows the root key of the store until the context ends.
+func (l *Link) Watch(ctx context.Context) {
+	committer := commit.New(l.store)
+	for ctx.Err() == nil {
+		snapshot, err := committer.Load(ctx)
+		if err != nil {
+			l.log.Warn("cannot read configuration", "error", err)
+			sleep(ctx, retryStore)
+			continue
+		}
+
+		l.Adopt(snapshot.Config, "store")
+		if _, err := l.store.Watch(ctx, commit.RootKey, snapshot.StoreRevision); err != nil {
+			sleep(ctx, retryStore)
+		}
+	}
+}
+
+func (l *Link) tick() {
+	l.mu.Lock()
+	sends := l.node.Tick(time.Now())
+	l.mu.Unlock()
+
+	l.send(sends)
+	l.noteMembers()
+}
+
+func (l *Link) send(sends []member.Send) {
+	for i := range sends {
+		datagram, err := l.codec.Seal(&sends[i].Message)
+		if err != nil {
+			l.log.Error("cannot encode control message", "error", err)
+			continue
+		}
+
+		if _, err := l.conn.WriteToUDPAddrPort(datagram, sends[i].To); err == nil {
+			l.metrics.ControlBytes.WithLabelValues("out").Add(float64(len(datagram)))
+		}
+	}
+}
+
+func (l *Link) noteMembers() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	version := l.node.Roster().Version()
+	if version == l.version {
+		return
+	}
+	l.version = version
+	l.signal()
+}
+
+// fetch gets a configuration from a peer in the background, one at a time.
+func (l *Link) fetch(offer member.Offer) {
+	l.mu.Lock()
+	busy := l.fetching || offer.Revision <= l.cfg.Revision
+	if !busy {
+		l.fetching = true
+	}
+	l.mu.Unlock()
+	if busy {
+		return
+	}
+
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+
+		cfg, err := l.fetcher.Config(ctx, offer.Admin)
+		if err != nil {
+			l.log.Warn("cannot fetch configuration", "peer", offer.Admin, "error", err)
+		} else {
+			l.Adopt(cfg, "peer")
+		}
+
+		l.mu.Lock()
+		l.fetching = false
+		l.mu.Unlock()
+	}()
+}
+
+// signal must be called with the lock held.
+func (l *Link) signal() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+func growBuffers(conn *net.UDPConn) {
+	// The kernel caps what it grants; a small buffer works, only worse.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+}
+
+func reasonOf(err error) string {
+	switch {
+	case errors.Is(err, gossip.ErrTruncated):
+		return "controlTruncated"
+	case errors.Is(err, gossip.ErrForged):
+		return "controlForged"
+	}
+	return "controlMalformed"
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/transport/metric/metric.go
@@ -0,0 +1,130 @@
+// Package metric holds the Prometheus metrics of the daemons. Every label takes
+// its values from a fixed list or from the configuration, so that callers
+// cannot add time series.
+package metric
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "coriandershift"
+
+// Set is all metrics of one process.
+type Set struct {
+	registry *prometheus.Registry
+
+	// Latency is the time to the end of the answer in seconds, by tenant and class.
+	Latency *prometheus.HistogramVec
+
+	// Size is the length of the answer's body in bytes, by tenant and class.
+	Size *prometheus.HistogramVec
+
+	// Requests counts requests by tenant, class and outcome.
+	Requests *prometheus.CounterVec
+
+	// Refusals counts refused requests by tenant, class and reason.
+	Refusals *prometheus.CounterVec
+
+	// Broken counts broken flows by cause.
+	Broken *prometheus.CounterVec
+
+	// Datagrams counts callers' datagrams by verdict.
+	Datagrams *prometheus.CounterVec
+
+	// Dropped counts datagrams thrown away by reason.
+	Dropped *prometheus.CounterVec
+
+	// ControlBytes counts control traffic in bytes by direction, in or out.
+	ControlBytes *prometheus.CounterVec
+
+	// StoreCalls counts calls to the platform's store by call and result.
+	StoreCalls *prometheus.CounterVec
+
+	// Violations counts broken invariants by name. It must stay 0.
+	Violations *prometheus.CounterVec
+
+	// Revision is the configuration in force.
+	Revision prometheus.Gauge
+
+	// Members is the number of known members that are not dead.
+	Members prometheus.Gauge
+
+	// SlotLimit is how many requests the upstream may run at once now.
+	SlotLimit prometheus.Gauge
+
+	// SlotsUsed is how many requests the upstream runs.
+	SlotsUsed prometheus.Gauge
+
+	// Connections is the number of open flows.
+	Connections prometheus.Gauge
+}
+
+// New returns a Set in a registry of its own.
+func New() *Set {
+	s := &Set{registry: prometheus.NewRegistry()}
+	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+
+	latency := prometheus.ExponentialBuckets(0.001, 2, 15)
+	size := prometheus.ExponentialBuckets(256, 4, 10)
+	s.Latency = s.histogram("request_seconds", "Time to the end of the answer.", latency, "tenant", "class")
+	s.Size = s.histogram("answer_bytes", "Length of the answer's body.", size, "tenant", "class")
+	s.Requests = s.counter("requests_total", "Requests by outcome.", "tenant", "class", "outcome")
+	s.Refusals = s.counter("refusals_total", "Requests refused before they ran.", "tenant", "class", "reason")
+	s.Broken = s.counter("broken_flows_total", "Flows that ended before their answer.", "cause")
+	s.Datagrams = s.counter("datagrams_total", "Callers' datagrams by verdict.", "verdict")
+	s.Dropped = s.counter("dropped_datagrams_total", "Datagrams thrown away.", "reason")
+	s.ControlBytes = s.counter("control_bytes_total", "Control traffic between the system's processes.", "direction")
+	s.StoreCalls = s.counter("store_calls_total", "Calls to the platform's store.", "call", "result")
+	s.Violations = s.counter("invariant_violations_total", "Broken invariants.", "invariant")
+	s.Revision = s.gauge("config_revision", "Configuration in force.")
+	s.Members = s.gauge("members", "Known members that are not dead.")
+	s.SlotLimit = s.gauge("slot_limit", "Requests that the upstream may run at once now.")
+	s.SlotsUsed = s.gauge("slots_used", "Requests that the upstream runs.")
+	s.Connections = s.gauge("connections", "Open flows.")
+	return s
+}
+
+// Handler serves the metrics.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// ObserveRequest records the end of a request.
+func (s *Set) ObserveRequest(tenant, class, outcome string, took time.Duration, bytes int64) {
+	s.Requests.WithLabelValues(tenant, class, outcome).Inc()
+	s.Latency.WithLabelValues(tenant, class).Observe(took.Seconds())
+	s.Size.WithLabelValues(tenant, class).Observe(float64(bytes))
+}
+
+// ObserveStoreCall records one call to the platform's store.
+func (s *Set) ObserveStoreCall(call string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	s.StoreCalls.WithLabelValues(call, result).Inc()
+}
+
+func (s *Set) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	s.registry.MustRegister(c)
+	return c
+}
+
+func (s *Set) histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	opts := prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}
+	h := prometheus.NewHistogramVec(opts, labels)
+	s.registry.MustRegister(h)
+	return h
+}
+
+func (s *Set) gauge(name, help string) prometheus.Gauge {
+	g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	s.registry.MustRegister(g)
+	return g
+}
--- /dev/null
+++ b/internal/transport/relay/back.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"github.com/pkg/errors"
+	"golang.org/x/net/ipv4"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/encap"
+	"github.com/coriandershift/coriandershift/internal/protocol/header"
+)
+
+// readAgents moves datagrams from agents to callers, and hands control
+// datagrams on, until the socket is closed.
+func (r *Relay) readAgents() error {
+	in := newBatch()
+	conn := ipv4.NewPacketConn(r.node)
+	var out outbox
+	for {
+		count, err := conn.ReadBatch(in, 0)
+		if err != nil {
+			return errors.Wrap(err, "read from agents")
+		}
+
+		for i := range in[:count] {
+			r.fromAgent(&out, in[i].Buffers[0][:in[i].N])
+		}
+		out.flush()
+	}
+}
+
+func (r *Relay) fromAgent(out *outbox, datagram []byte) {
+	if len(datagram) > 0 && encap.Kind(datagram[0]) == encap.Control {
+		r.control(datagram)
+		return
+	}
+
+	e, payload, err := r.codec.Open(datagram)
+	if err != nil || e.Kind != encap.Answer {
+		r.counters.drop(encapReason(err))
+		return
+	}
+
+	f := r.front(frontKey{service: e.Service, address: e.Address})
+	if f == nil {
+		r.counters.drop("answerForUnknownService")
+		return
+	}
+
+	out.to(f.batch).add(e.Caller, payload)
+	r.counters.answered()
+}
+
+func encapReason(err error) string {
+	switch {
+	case errors.Is(err, encap.ErrTruncated):
+		return "encapTruncated"
+	case errors.Is(err, encap.ErrForged):
+		return "encapForged"
+	case errors.Is(err, encap.ErrRanks):
+		return "encapRanks"
+	}
+	return "encapKind"
+}
+
+func parseReason(err error) string {
+	switch {
+	case errors.Is(err, header.ErrTruncated):
+		return "quicTruncated"
+	case errors.Is(err, header.ErrIDLength):
+		return "quicIdLength"
+	}
+	return "notQuic"
+}
--- /dev/null
+++ b/internal/transport/store/client.go
@@ -0,0 +1,201 @@
+// Package store speaks to the platform's key-value store over the JSON gateway of the etcd v3 API.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/protocol/etcd"
+)
+
+const (
+	maxAnswer   = 8 << 20 // bytes
+	callTimeout = 2 * time.Second
+)
+
+// Client is a coriandershift.Store. It is safe for concurrent use.
+type Client struct {
+	endpoint string
+	http     *http.Client
+	observe  func(call string, err error)
+}
+
+var _ coriandershift.Store = (*Client)(nil)
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithObserver has every call and its error reported to a function.
+func WithObserver(observe func(call string, err error)) Option {
+	return func(c *Client) { c.observe = observe }
+}
+
+// New returns a Client of the store at an endpoint such as http://192.0.2.1:2379.
+func New(endpoint string, options ...Option) *Client {
+	c := &Client{endpoint: endpoint, http: &http.Client{}, observe: func(string, error) {}}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Get returns one entry, or ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (coriandershift.Entry, error) {
+	entries, err := c.rangeOf(ctx, etcd.RangeRequest{Key: []byte(key)})
+	if err != nil {
+		return coriandershift.Entry{}, err
+	}
+	if len(entries) == 0 {
+		return coriandershift.Entry{}, errors.WithMessagef(coriandershift.ErrNotFound, "key %q", key)
+	}
+	return entries[0], nil
+}
+
+// List returns the entries whose keys start with a prefix.
+func (c *Client) List(ctx context.Context, prefix string) ([]coriandershift.Entry, error) {
+	return c.rangeOf(ctx, etcd.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+}
+
+// Swap writes a value if the key's revision is still the given one.
+func (c *Client) Swap(ctx context.Context, key string, value []byte, revision int64, lease coriandershift.Lease) error {
+	request := etcd.TxnRequest{
+		Compare: []etcd.Compare{{Result: etcd.ResultEqual, Target: etcd.TargetMod, Key: []byte(key), ModRevision: revision}},
+		Success: []etcd.RequestOp{{Put: &etcd.PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}}},
+	}
+
+	var response etcd.TxnResponse
+	if err := c.call(ctx, etcd.PathTxn, request, &response); err != nil {
+		return errors.WithMessagef(coriandershift.ErrUnknownOutcome, "write %q: %v", key, err)
+	}
+	if !response.Succeeded {
+		return errors.WithMessagef(coriandershift.ErrConflict, "key %q", key)
+	}
+	return nil
+}
+
+// Watch waits until a key changes after a revision and returns its entry.
+func (c *Client) Watch(ctx context.Context, key string, after int64) (coriandershift.Entry, error) {
+	entry, err := c.watch(ctx, key, after)
+	c.observe(etcd.PathWatch, err)
+	return entry, err
+}
+
+// Grant makes a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (coriandershift.Lease, error) {
+	var response etcd.GrantResponse
+	err := c.call(ctx, etcd.PathGrant, etcd.GrantRequest{TTL: int64(ttl / time.Second)}, &response)
+	return coriandershift.Lease(response.ID), err
+}
+
+// Renew keeps a lease alive, or returns ErrLeaseLost.
+func (c *Client) Renew(ctx context.Context, lease coriandershift.Lease) error {
+	var response etcd.KeepAliveResponse
+	if err := c.call(ctx, etcd.PathKeepAlive, etcd.KeepAliveRequest{ID: int64(lease)}, &response); err != nil {
+		return err
+	}
+	if response.Result.TTL == 0 {
+		return coriandershift.ErrLeaseLost
+	}
+	return nil
+}
+
+func (c *Client) rangeOf(ctx context.Context, request etcd.RangeRequest) ([]coriandershift.Entry, error) {
+	var response etcd.RangeResponse
+	if err := c.call(ctx, etcd.PathRange, request, &response); err != nil {
+		return nil, err
+	}
+
+	entries := make([]coriandershift.Entry, 0, len(response.KVs))
+	for _, kv := range response.KVs {
+		entries = append(entries, entryOf(kv))
+	}
+	return entries, nil
+}
+
+func (c *Client) call(ctx context.Context, path string, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	err := c.exchange(ctx, path, request, response)
+	c.observe(path, err)
+	return err
+}
+
+func (c *Client) exchange(ctx context.Context, path string, request, response any) error {
+	answer, err := c.post(ctx, path, request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return errors.Wrapf(err, "read answer of %s", path)
+	}
+	return errors.Wrapf(json.Unmarshal(body, response), "decode answer of %s", path)
+}
+
+func (c *Client) post(ctx context.Context, path string, request any) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %s", path)
+	}
+
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, c.endpoint+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "call %s", path)
+	}
+
+	answer, err := c.http.Do(call)
+	if err != nil {
+		return nil, errors.Wrapf(err, "call %s", path)
+	}
+	if answer.StatusCode != http.StatusOK {
+		answer.Body.Close()
+		return nil, errors.Errorf("call %s: store answered %s", path, answer.Status)
+	}
+	return answer, nil
+}
+
+func (c *Client) watch(ctx context.Context, key string, after int64) (coriandershift.Entry, error) {
+	request := etcd.WatchRequest{Create: etcd.WatchCreate{Key: []byte(key), StartRevision: after + 1}}
+	answer, err := c.post(ctx, etcd.PathWatch, request)
+	if err != nil {
+		return coriandershift.Entry{}, err
+	}
+	defer answer.Body.Close()
+
+	lines := json.NewDecoder(answer.Body)
+	for {
+		var line etcd.WatchResponse
+		if err := lines.Decode(&line); err != nil {
+			return coriandershift.Entry{}, errors.Wrapf(err, "watch %q", key)
+		}
+		if count := len(line.Result.Events); count > 0 {
+			return entryOf(line.Result.Events[count-1].KV), nil
+		}
+	}
+}
+
+func entryOf(kv etcd.KeyValue) coriandershift.Entry {
+	return coriandershift.Entry{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
+}
+
+// prefixEnd returns the first key after all keys with a prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,5 @@
+// Package version names the version of all programs.
+package version
+
+// Number is the version, by semantic versioning.
+const Number = "0.1.0"
--- /dev/null
+++ b/store.go
@@ -0,0 +1,60 @@
+// Package coriandershift is a layer-4 load balancer for services whose users
+// try once and never return. The root package holds the interfaces behind
+// which behaviour varies; the implementations are below internal.
+package coriandershift
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Sentinel errors of a Store.
+var (
+	// ErrNotFound reports that a key does not exist.
+	ErrNotFound = errors.New("key not found")
+
+	// ErrConflict reports that a key changed since it was read.
+	ErrConflict = errors.New("key was changed by somebody else")
+
+	// ErrUnknownOutcome reports a write that may or may not have taken effect.
+	ErrUnknownOutcome = errors.New("outcome of the write is unknown")
+
+	// ErrLeaseLost reports a lease that has lapsed.
+	ErrLeaseLost = errors.New("lease has lapsed")
+)
+
+// Entry is one key and its value.
+type Entry struct {
+	Key   string
+	Value []byte
+
+	// Revision is the store's revision of the last change of the key; 0 if it does not exist.
+	Revision int64
+}
+
+// Lease names a lease of the store; 0 is none.
+type Lease int64
+
+// Store is the platform's key-value store.
+type Store interface {
+	// Get returns one entry, or ErrNotFound.
+	Get(ctx context.Context, key string) (Entry, error)
+
+	// List returns the entries whose keys start with a prefix.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+
+	// Swap writes a value if the key's revision is still the given one; 0 means that it must not exist.
+	// It returns ErrConflict if not, and ErrUnknownOutcome if no answer came.
+	Swap(ctx context.Context, key string, value []byte, revision int64, lease Lease) error
+
+	// Watch waits until a key changes after a revision of the store and returns its entry.
+	Watch(ctx context.Context, key string, after int64) (Entry, error)
+
+	// Grant makes a lease that lapses unless it is renewed within ttl, in whole seconds.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+
+	// Renew keeps a lease alive, or returns ErrLeaseLost.
+	Renew(ctx context.Context, lease Lease) error
+}
