Ask balancers twice when a kept connection leads to a process that is gone

Cause: after a balancer restarted, its peers' kept QUIC connections to it stayed silent until their idle timeout of 10 s; a query of what is in force waited for it (about 3 s seen in script/demo), and a fetch of the configuration would have failed until then. Ruled out: the membership, which had the new incarnation within a second. Calls that change nothing now have 1 s a try, drop the idle connections after an error and try once more; balancers are asked at once.

--- a/internal/transport/admin/client.go
+++ b/internal/transport/admin/client.go
@@ -19,7 +19,10 @@
 
 const (
 	maxAnswer   = 64 << 20 // bytes
-	idleTimeout = 10 * time.Second
+	idleTimeout = 5 * time.Second
+
+	// askTimeout bounds one try of a call that changes nothing.
+	askTimeout = time.Second
 )
 
 // ErrFailed reports a call that a balancer could not carry out.
@@ -31,7 +34,8 @@
 
 // Client asks balancers. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	transport *http3.Transport
+	http      *http.Client
 }
 
 // NewClient returns a Client that authenticates itself by mutual TLS.
@@ -40,7 +44,12 @@
 		TLSClientConfig: tlsConfig,
 		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout},
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{transport: transport, http: &http.Client{Transport: transport}}
+}
+
+// Close ends the client's connections.
+func (c *Client) Close() error {
+	return c.transport.Close()
 }
 
 // Config returns the configuration in force at a balancer.
@@ -79,7 +88,19 @@
 	return applied, err
 }
 
+// get asks twice if need be: a connection kept from before may lead to a
+// process that is gone, and stays silent where a new one would work.
 func (c *Client) get(ctx context.Context, admin netip.AddrPort, path string, into any) error {
+	err := c.try(ctx, admin, path, into)
+	if err == nil || errors.Is(err, ErrFailed) || ctx.Err() != nil {
+		return err
+	}
+	return c.try(ctx, admin, path, into)
+}
+
+func (c *Client) try(ctx context.Context, admin netip.AddrPort, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	return c.call(ctx, http.MethodGet, admin, path, nil, into)
 }
 
@@ -91,12 +112,14 @@
 
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.transport.CloseIdleConnections()
 		return errors.Wrapf(err, "call %s", admin)
 	}
 	defer response.Body.Close()
 
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
+		c.transport.CloseIdleConnections()
 		return errors.Wrapf(err, "read answer of %s", admin)
 	}
 	if response.StatusCode != http.StatusOK {
--- a/internal/transport/admin/server.go
+++ b/internal/transport/admin/server.go
@@ -12,10 +12,12 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go/http3"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/commit"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -32,6 +34,7 @@
 
 	maxChange     = 1 << 20 // bytes
 	changeTimeout = 10 * time.Second
+	maxCalls      = 32 // to other balancers at once
 )
 
 // MemberStatus is one member with what is in force there.
@@ -176,19 +179,8 @@
 
 // getMembers tells of all members, with what the other balancers know is in force where.
 func (s *Server) getMembers(w http.ResponseWriter, r *http.Request) {
-	applied := s.applied()
 	members := s.link.Members()
-	for _, m := range members {
-		if m.Role != roster.Balancer || m.State == roster.Dead || m.Address == s.link.Self().Address {
-			continue
-		}
-		more, err := s.client.Applied(r.Context(), m.Admin)
-		if err != nil {
-			s.log.Warn("cannot ask balancer", "peer", m.Admin, "error", err)
-			continue
-		}
-		merge(applied, more)
-	}
+	applied := s.appliedEverywhere(r.Context(), members)
 
 	statuses := []MemberStatus{}
 	for _, m := range members {
@@ -197,6 +189,34 @@
 	answer(w, http.StatusOK, statuses)
 }
 
+// appliedEverywhere asks all other balancers at once. One that does not answer is left out.
+func (s *Server) appliedEverywhere(ctx context.Context, members []roster.Member) map[netip.AddrPort]uint64 {
+	applied := s.applied()
+	self := s.link.Self().Address
+
+	var mu sync.Mutex
+	var calls errgroup.Group
+	calls.SetLimit(maxCalls)
+	for _, m := range members {
+		if m.Role != roster.Balancer || m.State == roster.Dead || m.Address == self {
+			continue
+		}
+		calls.Go(func() error {
+			more, err := s.client.Applied(ctx, m.Admin)
+			if err != nil {
+				s.log.Warn("cannot ask balancer", "peer", m.Admin, "error", err)
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			merge(applied, more)
+			return nil
+		})
+	}
+	_ = calls.Wait() // no call returns an error
+	return applied
+}
+
 func statusOf(m roster.Member, revision uint64) MemberStatus {
 	role := "agent"
 	if m.Role == roster.Balancer {
