--- /dev/null
+++ b/internal/protocol/encap/encap_test.go
@@ -0,0 +1,101 @@
+package encap_test
+
+import (
+	"bytes"
+	"errors"
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/encap"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+)
+
+var compareAddresses = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
+func newCodec(seed byte) *encap.Codec {
+	return encap.New(keyset.Set{Cluster: bytes.Repeat([]byte{seed}, keyset.KeyLength)})
+}
+
+func sample() encap.Envelope {
+	e := encap.Envelope{
+		Kind:    encap.Forward,
+		Service: 0x123456,
+		Address: 3,
+		Caller:  netip.MustParseAddrPort("198.51.100.7:50000"),
+		Count:   2,
+	}
+	e.Ranks[0] = netip.MustParseAddrPort("192.0.2.1:7200")
+	e.Ranks[1] = netip.MustParseAddrPort("192.0.2.2:7200")
+	return e
+}
+
+func TestEnvelopeSurvives(t *testing.T) {
+	six := sample()
+	six.Caller = netip.MustParseAddrPort("[2001:db8::1]:443")
+	plain := sample()
+	plain.Count, plain.Ranks = 0, [encap.MaxRanks]netip.AddrPort{}
+	tests := map[string]encap.Envelope{"two ranks": sample(), "IPv6 caller": six, "no ranks": plain}
+
+	codec := newCodec(1)
+	for name, want := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, payload, err := codec.Open(codec.Append(nil, &want, []byte("payload")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(want, got, compareAddresses); diff != "" {
+				t.Error(diff)
+			}
+			if string(payload) != "payload" {
+				t.Errorf("payload is %q", payload)
+			}
+		})
+	}
+}
+
+func TestOpenRefuses(t *testing.T) {
+	e := sample()
+	good := newCodec(1).Append(nil, &e, []byte("payload"))
+	change := func(at int, to byte) []byte {
+		bad := bytes.Clone(good)
+		bad[at] = to
+		return bad
+	}
+
+	tests := map[string]struct {
+		datagram []byte
+		want     error
+	}{
+		"empty":           {nil, encap.ErrTruncated},
+		"cut in ranks":    {good[:35], encap.ErrTruncated},
+		"unknown kind":    {change(0, 77), encap.ErrKind},
+		"control":         {change(0, byte(encap.Control)), encap.ErrKind},
+		"too many ranks":  {change(1, encap.MaxRanks+1), encap.ErrRanks},
+		"other service":   {change(4, 9), encap.ErrForged},
+		"other caller":    {change(21, 9), encap.ErrForged},
+		"other rank":      {change(24, 9), encap.ErrForged},
+		"another cluster": {newCodec(2).Append(nil, &e, []byte("payload")), encap.ErrForged},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, _, err := newCodec(1).Open(test.datagram); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	codec := newCodec(1)
+	e := sample()
+	f.Add(codec.Append(nil, &e, []byte("payload")))
+	f.Add([]byte{1, 0})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		e, payload, err := codec.Open(datagram)
+		if err == nil && !bytes.Equal(codec.Append(nil, &e, payload), datagram) {
+			t.Error("envelope does not make the same datagram again")
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/gossip/gossip_test.go
@@ -0,0 +1,108 @@
+package gossip_test
+
+import (
+	"bytes"
+	"errors"
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/member"
+	"github.com/coriandershift/coriandershift/internal/protocol/gossip"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+func newCodec(seed byte) *gossip.Codec {
+	return gossip.New(keyset.Set{Cluster: bytes.Repeat([]byte{seed}, keyset.KeyLength)})
+}
+
+func sample(members int) member.Message {
+	m := member.Message{Kind: member.Push, Revision: 9}
+	for i := range members {
+		m.Members = append(m.Members, roster.Member{
+			Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(i)}), 7200),
+			Role:        roster.Agent,
+			Name:        "checklists-0000001",
+			Domain:      "south-brazil-1",
+			Service:     "checklists-of-the-kitchen",
+			Incarnation: 1 << 41,
+			Sequence:    1 << 30,
+			State:       roster.Alive,
+			Weight:      roster.MaxWeight,
+		})
+	}
+	return m
+}
+
+func TestMessageSurvives(t *testing.T) {
+	codec := newCodec(1)
+	want := sample(10)
+	datagram, err := codec.Seal(&want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(datagram) > 1400 {
+		t.Errorf("a push of ten members has %d bytes, more than fit one packet", len(datagram))
+	}
+
+	got, err := codec.Open(datagram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	same := cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+	if diff := cmp.Diff(want, got, same); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOpenRefuses(t *testing.T) {
+	m := sample(1)
+	good, err := newCodec(1).Seal(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	flipped := bytes.Clone(good)
+	flipped[20] ^= 1
+	huge := sample(100)
+	tooLong, err := newCodec(1).Seal(&huge)
+	if err != nil {
+		t.Fatal(err)
+	}
+	foreign, err := newCodec(2).Seal(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	tests := map[string]struct {
+		datagram []byte
+		want     error
+	}{
+		"empty":            {nil, gossip.ErrTruncated},
+		"cut":              {good[:28], gossip.ErrTruncated},
+		"flipped bit":      {flipped, gossip.ErrForged},
+		"another cluster":  {foreign, gossip.ErrForged},
+		"too many members": {tooLong, gossip.ErrMalformed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, err := newCodec(1).Open(test.datagram); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	codec := newCodec(1)
+	m := sample(1)
+	good, err := codec.Seal(&m)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Fuzz(func(_ *testing.T, datagram []byte) {
+		_, _ = codec.Open(datagram) // must not panic
+	})
+}
--- /dev/null
+++ b/internal/protocol/header/header_test.go
@@ -0,0 +1,61 @@
+package header_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/header"
+)
+
+func long(flags byte, version uint32, id []byte) []byte {
+	packet := []byte{flags, byte(version >> 24), byte(version >> 16), byte(version >> 8), byte(version), byte(len(id))}
+	return append(append(packet, id...), 0)
+}
+
+func TestParse(t *testing.T) {
+	id := bytes.Repeat([]byte{7}, 20)
+	tests := map[string]struct {
+		datagram []byte
+		want     header.Packet
+		err      error
+	}{
+		"empty":                    {nil, header.Packet{}, header.ErrTruncated},
+		"short header":             {append([]byte{0x40}, id...), header.Packet{Destination: id}, nil},
+		"short header, cut":        {append([]byte{0x40}, id[:19]...), header.Packet{}, header.ErrTruncated},
+		"no fixed bit":             {append([]byte{0x00}, id...), header.Packet{}, header.ErrNotQUIC},
+		"initial":                  {long(0xc0, 1, id[:8]), header.Packet{Destination: id[:8], Long: true, First: true}, nil},
+		"0-RTT":                    {long(0xd0, 1, id[:8]), header.Packet{Destination: id[:8], Long: true, First: true}, nil},
+		"handshake":                {long(0xe0, 1, id), header.Packet{Destination: id, Long: true}, nil},
+		"unknown version":          {long(0x80, 0xabcd, id[:8]), header.Packet{Destination: id[:8], Long: true, First: true}, nil},
+		"long without fixed bit":   {long(0x80, 1, id[:8]), header.Packet{}, header.ErrNotQUIC},
+		"first ID too short":       {long(0xc0, 1, id[:7]), header.Packet{}, header.ErrIDLength},
+		"ID too long":              {long(0xc0, 1, append(id, 1)), header.Packet{}, header.ErrIDLength},
+		"long header, cut":         {long(0xc0, 1, id)[:20], header.Packet{}, header.ErrTruncated},
+		"long header without more": {[]byte{0xc0, 0, 0}, header.Packet{}, header.ErrTruncated},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := header.Parse(test.datagram)
+			if !errors.Is(err, test.err) {
+				t.Fatalf("got %v, want %v", err, test.err)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(long(0xc0, 1, bytes.Repeat([]byte{7}, 20)))
+	f.Add([]byte{0x40})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		packet, err := header.Parse(datagram)
+		if err == nil && !bytes.Contains(datagram, packet.Destination) {
+			t.Error("connection ID is not in the datagram")
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/setup/setup_test.go
@@ -0,0 +1,141 @@
+package setup_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+)
+
+const good = `// A balancer.
+{
+  "name": "balancer-1",
+  "domain": "south-1",
+  "address": "127.0.20.1:7100",
+  "metrics": "127.0.20.1:7102",
+  "store": "http://127.0.50.1:2379",
+  "keyFile": "keys",
+  "peers": {"certFile": "cert", "keyFile": "key", "authorityFile": "authority"},
+  "balancer": {
+    "frontend": "127.0.20.1",
+    "admin": "127.0.20.1:7101",
+    "withdraw": "1s",
+  },
+}
+`
+
+// inFolder changes to a folder that holds the files that settings name.
+func inFolder(t *testing.T, files ...string) {
+	t.Helper()
+	t.Chdir(t.TempDir())
+	for _, file := range files {
+		if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(file, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestParse(t *testing.T) {
+	inFolder(t, "keys", "cert", "key", "authority")
+	s, err := setup.Parse("b.hujson", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if time.Duration(s.Balancer.Withdraw) != time.Second || s.Balancer.Admin.Port() != 7101 {
+		t.Errorf("got %+v", s.Balancer)
+	}
+}
+
+func TestParseNamesFileLineAndField(t *testing.T) {
+	tests := map[string]struct {
+		old, new string
+		want     []string
+	}{
+		"unknown field":       {`"name"`, `"nmae"`, []string{"b.hujson:3: nmae: unknown field"}},
+		"unknown inner field": {`"admin"`, `"amdin"`, []string{"b.hujson:12: balancer.amdin: unknown field"}},
+		"field twice":         {`"domain": "south-1"`, `"name": "x"`, []string{"b.hujson:4: name: stands twice"}},
+		"missing field":       {`"name": "balancer-1",`, "", []string{"name: must be set"}},
+		"duration, no unit":   {`"1s"`, `5`, []string{"balancer.withdraw", "needs a unit"}},
+		"wrong kind":          {`"south-1"`, `7`, []string{"b.hujson:4: domain: is a number"}},
+		"address used twice":  {`"admin": "127.0.20.1:7101"`, `"admin": "127.0.20.1:7100"`, []string{"b.hujson:12: balancer.admin: is in use"}},
+		"missing certificate": {`"certFile": "cert"`, `"certFile": "gone"`, []string{"b.hujson:9: peers.certFile: cannot be read"}},
+		"store by name":       {"127.0.50.1:2379", "store.example", []string{"b.hujson:7: store: must be"}},
+		"unknown level":       {`"name"`, `"logLevel": "loud", "name"`, []string{"logLevel: must be"}},
+		"both roles":          {`"name"`, `"agent": {}, "name"`, []string{"exactly one of balancer and agent"}},
+		"no JSON":             {`{`, ``, []string{"b.hujson"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inFolder(t, "keys", "cert", "key", "authority")
+			_, err := setup.Parse("b.hujson", []byte(strings.Replace(good, test.old, test.new, 1)))
+			if err == nil {
+				t.Fatal("bad settings were accepted")
+			}
+			for _, want := range test.want {
+				if !strings.Contains(err.Error(), want) {
+					t.Errorf("error %q does not hold %q", err, want)
+				}
+			}
+		})
+	}
+}
+
+func TestSampleSettingsAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../../examples/*/*-*.hujson")
+	if err != nil || len(files) != 28 {
+		t.Fatalf("found %d sample settings, %v; want 28", len(files), err)
+	}
+
+	texts := map[string][]byte{}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts[file] = data
+	}
+	inFolder(t, "certs/keys.hujson", "certs/peers.pem", "certs/peers.key", "certs/authority.pem", "certs/public.pem", "certs/public.key")
+	for file, data := range texts {
+		if _, err := setup.Parse(file, data); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestSizes(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want setup.Size
+		err  error
+	}{
+		"bytes":     {`"12B"`, 12, nil},
+		"mebibytes": {`"16MiB"`, 16 << 20, nil},
+		"no unit":   {`"16"`, 0, setup.ErrUnit},
+		"number":    {`16`, 0, setup.ErrUnit},
+		"negative":  {`"-1B"`, 0, setup.ErrUnit},
+		"overflow":  {`"9999999999999GiB"`, 0, setup.ErrUnit},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got setup.Size
+			if err := got.UnmarshalJSON([]byte(test.text)); !errors.Is(err, test.err) || got != test.want {
+				t.Errorf("got %d, %v; want %d, %v", got, err, test.want, test.err)
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"balancer": {"withdraw": 5}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = setup.Parse("fuzz", data) // must not panic
+	})
+}
