Let split balancers find each other again without giving up each other's flows

Cause, by the new test TestSplitHealsWithoutLoss: once both sides of a split took each other's balancers for dead, no message crossed any more, so 188 records stayed wrong after the cut was mended; and when digests to lost balancers were added, claims of death made during the split ran ahead of the homes' refutations and balancers gave up flows of agents that they could reach all the time. Ruled out: the merge order, which was right in both cases.

One digest in four now goes to a balancer that is taken for dead; a death by hearsay is confirmed after 1.5 s, or 30 s when its last heartbeat lags far behind; sequences keep step with time. The digest is kept up to date with each merge rather than hashed anew.

--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -56,12 +56,13 @@
 }
 
 // merge takes a record into the roster and passes it on if it was news.
-func (n *Node) merge(now time.Time, m roster.Member) {
+func (n *Node) merge(now time.Time, m roster.Member) bool {
 	if !n.roster.Merge(m, now) {
-		return
+		return false
 	}
 	n.spread(m.Address)
 	n.consider(now, m)
+	return true
 }
 
 func (n *Node) ack(to netip.AddrPort) Message {
@@ -95,8 +96,30 @@
 		if n.outlived(member) {
 			continue
 		}
-		n.merge(now, member)
+		n.mergeClaim(now, member)
+	}
+}
+
+// mergeClaim takes a record that came from another member. A death in it is in doubt at first.
+func (n *Node) mergeClaim(now time.Time, claim roster.Member) {
+	known, ok := n.roster.Get(claim.Address)
+	kind, until := n.doubtOf(now, claim, known)
+	if !n.merge(now, claim) || !ok || claim.State != roster.Dead || known.State == roster.Dead {
+		return
+	}
+	n.roster.Suspend(claim.Address, kind, until)
+}
+
+// doubtOf returns how far to doubt a claim of death. A living member's sequence
+// grows with every heartbeat; a claim that lags far behind what it must have
+// reached by now tells of a time when the member could not be heard from there.
+func (n *Node) doubtOf(now time.Time, claim, known roster.Member) (roster.Doubt, time.Time) {
+	passed := now.Sub(n.roster.Learned(claim.Address)) / HeartbeatEvery
+	reached := known.Sequence + uint64(max(0, passed))
+	if claim.Incarnation == known.Incarnation && claim.Sequence+staleBeats < reached {
+		return roster.Stale, now.Add(ConfirmStaleAfter)
 	}
+	return roster.Unconfirmed, now.Add(ConfirmAfter)
 }
 
 // refute answers a record about this node that is not its own.
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -23,16 +23,34 @@
 	// DeadAfter is how long a member may be silent before it is taken for dead.
 	DeadAfter = 3 * time.Second
 
-	// ForgetAfter is how long a dead member is remembered.
+	// ConfirmAfter is how long a death may be refuted by a home that hears the
+	// member before flows are given up for it.
+	ConfirmAfter = 1500 * time.Millisecond
+
+	// ConfirmStaleAfter is the same for a claim whose last heartbeat is long
+	// past, as those that cross a split once it has healed.
+	ConfirmStaleAfter = 30 * time.Second
+
+	// ForgetAfter is how long a dead agent is remembered.
 	ForgetAfter = 10 * time.Minute
 
+	// ForgetBalancerAfter is how long a dead balancer is remembered and looked
+	// for: regions may lose each other for an hour and must find each other again.
+	ForgetBalancerAfter = 24 * time.Hour
+
 	// TickEvery is how often Tick must be called.
 	TickEvery = 100 * time.Millisecond
 
 	pushEvery   = 200 * time.Millisecond
 	digestEvery = 2 * time.Second
-	pauseGap    = time.Second // a longer gap between ticks means that this process was paused
-	ackLost     = 2 * time.Second
+	lookEvery   = 4 // digests, of which one goes to a balancer that is taken for dead
+	forgetEvery = time.Minute
+
+	// staleBeats is by how many heartbeats a claim of death may lag behind
+	// what a living member must have reached.
+	staleBeats = 30
+	pauseGap   = time.Second // a longer gap between ticks means that this process was paused
+	ackLost    = 2 * time.Second
 
 	fanout       = 3
 	maxMembers   = 10 // fits a datagram of 1,200 bytes
@@ -57,7 +75,10 @@
 	watched map[netip.AddrPort]time.Time
 	ringAt  uint64
 
-	lastTick, lastBeat, lastPush, lastDigest, lastProbe, lastHeard time.Time
+	digests int
+	started time.Time
+
+	lastTick, lastBeat, lastPush, lastDigest, lastProbe, lastHeard, lastForget time.Time
 }
 
 type contact struct {
@@ -88,6 +109,22 @@
 	return n.roster
 }
 
+// Members returns all known members. One whose death is not yet confirmed is
+// shown as leaving: it gets nothing new, and its flows are not given up. One
+// whose death is claimed by stale news is shown as alive.
+func (n *Node) Members() []roster.Member {
+	members := n.roster.Members()
+	for i := range members {
+		switch n.roster.Doubt(members[i].Address) {
+		case roster.Unconfirmed:
+			members[i].State = roster.Leaving
+		case roster.Stale:
+			members[i].State = roster.Alive
+		}
+	}
+	return members
+}
+
 // Self returns the node's own record.
 func (n *Node) Self() roster.Member {
 	return n.self
@@ -159,10 +196,20 @@
 	sends = append(sends, n.judge(now)...)
 	sends = append(sends, n.push(now)...)
 	sends = append(sends, n.digest(now)...)
-	n.roster.Forget(now.Add(-ForgetAfter))
+	n.roster.Confirm(now)
+	n.forget(now)
 	return sends
 }
 
+func (n *Node) forget(now time.Time) {
+	if now.Sub(n.lastForget) < forgetEvery {
+		return
+	}
+	n.lastForget = now
+	n.roster.Forget(roster.Agent, now.Add(-ForgetAfter))
+	n.roster.Forget(roster.Balancer, now.Add(-ForgetBalancerAfter))
+}
+
 // resume gives every member a fresh start after this process was paused: their
 // heartbeats may wait unread.
 func (n *Node) resume(now time.Time) {
@@ -180,7 +227,7 @@
 		return nil
 	}
 	n.lastBeat = now
-	n.self.Sequence++
+	n.self.Sequence = max(n.self.Sequence+1, n.beatsSinceStart(now))
 
 	if n.self.Role == roster.Balancer {
 		n.homes = addresses(roster.HomesOf(n.self.Address, n.ring))
@@ -198,6 +245,15 @@
 	return sends
 }
 
+// beatsSinceStart keeps the sequence in step with time, also after a pause, so
+// that others can tell old news from new.
+func (n *Node) beatsSinceStart(now time.Time) uint64 {
+	if n.started.IsZero() {
+		n.started = now
+	}
+	return uint64(now.Sub(n.started) / HeartbeatEvery)
+}
+
 func (n *Node) message(kind Kind) Message {
 	return Message{Kind: kind, From: n.self, Revision: n.revision}
 }
--- /dev/null
+++ b/internal/coordination/member/node_test.go
@@ -0,0 +1,199 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/member"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+const (
+	// converge is how soon everybody shall know of a change: a few seconds by the users' promise.
+	converge = 4 * time.Second
+
+	// detect is how soon everybody shall know of a death.
+	detect = member.DeadAfter + converge
+)
+
+func settled(t *testing.T, seed uint64, balancers, agents int) *fleet {
+	f := newFleet(t, seed, balancers, agents)
+	f.mustAgree(2 * converge)
+	f.run(detect)
+	f.mustAgree(0)
+	return f
+}
+
+func TestEveryBalancerLearnsOfEveryMember(t *testing.T) {
+	tests := map[string]struct{ balancers, agents int }{
+		"one balancer": {1, 3},
+		"today":        {3, 11},
+		"more":         {12, 100},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			settled(t, 1, test.balancers, test.agents)
+		})
+	}
+}
+
+func TestDeadMembersAreNoticed(t *testing.T) {
+	tests := map[string]func(*fleet) []*host{
+		"one agent":          func(f *fleet) []*host { return f.nodes[20:21] },
+		"one balancer":       func(f *fleet) []*host { return f.nodes[3:4] },
+		"agent and its home": func(f *fleet) []*host { return append(homesOf(f, f.nodes[20])[:1], f.nodes[20]) },
+		"agent and both homes": func(f *fleet) []*host {
+			return append(homesOf(f, f.nodes[20]), f.nodes[20])
+		},
+		"a failure domain": func(f *fleet) []*host { return inDomain(f, "d2") },
+	}
+	for name, choose := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := settled(t, 2, 12, 60)
+			for _, h := range choose(f) {
+				h.down = true
+			}
+			f.mustAgree(2 * detect)
+		})
+	}
+}
+
+func TestPausedMemberIsTakenBack(t *testing.T) {
+	tests := map[string]int{"agent": 20, "balancer": 3}
+	for name, index := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := settled(t, 3, 6, 30)
+			h := f.nodes[index]
+			h.paused = true
+			f.run(2 * detect)
+			if wrong := f.disagreeing(h, roster.Dead); len(wrong) > 0 {
+				t.Fatalf("%d balancers have not noticed the pause", len(wrong))
+			}
+			f.resume(h)
+			f.mustAgree(converge)
+		})
+	}
+}
+
+func TestPausedHomeBuriesNobody(t *testing.T) {
+	f := settled(t, 4, 6, 30)
+	home := f.nodes[2]
+	home.paused = true
+	f.run(2 * member.DeadAfter)
+	f.resume(home)
+	for _, h := range f.nodes {
+		if h != home && stateAt(home, h) == roster.Dead {
+			t.Errorf("%s was buried by a home that had been paused", h.addr)
+		}
+	}
+	f.mustAgree(converge)
+}
+
+func TestCutOffBalancerBuriesNobody(t *testing.T) {
+	f := settled(t, 5, 6, 30)
+	alone := f.nodes[4]
+	f.cut = func(from, to *host) bool { return from == alone || to == alone }
+	f.run(time.Minute)
+	for _, h := range f.nodes {
+		if stateAt(alone, h) == roster.Dead {
+			t.Errorf("%s was buried by a balancer that was cut off", h.addr)
+		}
+	}
+
+	f.cut = func(_, _ *host) bool { return false }
+	f.mustAgree(2 * converge)
+}
+
+func TestSplitHealsWithoutLoss(t *testing.T) {
+	f := settled(t, 6, 8, 40)
+	left := func(h *host) bool { return h.domain == "d0" || h.domain == "d1" }
+	f.cut = func(from, to *host) bool { return left(from) != left(to) }
+	f.run(time.Minute)
+	gone := f.nodes[30]
+	gone.down = true
+	f.run(time.Minute)
+
+	f.cut = func(_, _ *host) bool { return false }
+	for range 300 {
+		f.run(member.TickEvery)
+		for _, h := range f.nodes {
+			mustKeepOwnSide(t, f, h, left)
+		}
+	}
+	f.mustAgree(2 * detect)
+}
+
+// mustKeepOwnSide fails if a balancer would give up flows of a running agent that it could reach all the time.
+func mustKeepOwnSide(t *testing.T, f *fleet, h *host, left func(*host) bool) {
+	t.Helper()
+	if h.role != roster.Balancer {
+		return
+	}
+	for _, m := range h.node.Members() {
+		other := f.byAddr[m.Address]
+		if m.State == roster.Dead && !other.down && left(other) == left(h) {
+			t.Fatalf("%s gives up %s, which it could always reach", h.addr, m.Address)
+		}
+	}
+}
+
+func TestJoinerCatchesUp(t *testing.T) {
+	f := settled(t, 7, 4, 200)
+	f.join(roster.Balancer)
+	f.mustAgree(2 * converge)
+}
+
+func TestRestartedMemberReplacesItself(t *testing.T) {
+	f := settled(t, 8, 4, 20)
+	h := f.nodes[10]
+	h.down = true
+	f.run(time.Second)
+	f.start(h)
+	f.mustAgree(detect)
+	f.run(detect)
+	f.mustAgree(0)
+}
+
+func TestLeavingSpreadsWithinSeconds(t *testing.T) {
+	f := settled(t, 9, 6, 30)
+	h := f.nodes[15]
+	h.node.Leave()
+	f.run(converge)
+	if wrong := f.disagreeing(h, roster.Leaving); len(wrong) > 0 {
+		t.Errorf("%d balancers do not know that an agent leaves", len(wrong))
+	}
+}
+
+func TestMembershipHoldsUnderLoss(t *testing.T) {
+	f := settled(t, 10, 6, 40)
+	f.cut = func(_, _ *host) bool { return f.random.IntN(10) == 0 }
+	f.run(time.Minute)
+	f.cut = func(_, _ *host) bool { return false }
+	f.mustAgree(detect)
+}
+
+func homesOf(f *fleet, h *host) []*host {
+	var ring []roster.Member
+	for _, other := range f.nodes {
+		if other.role == roster.Balancer {
+			ring = append(ring, other.node.Self())
+		}
+	}
+	roster.RingOrder(ring)
+
+	var homes []*host
+	for _, m := range roster.HomesOf(h.addr, ring) {
+		homes = append(homes, f.byAddr[m.Address])
+	}
+	return homes
+}
+
+func inDomain(f *fleet, domain string) []*host {
+	var hosts []*host
+	for _, h := range f.nodes {
+		if h.domain == domain {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -129,18 +129,49 @@
 	}
 	n.lastDigest = now
 
+	n.digests++
+	targets := n.peers(1)
+	if n.digests%lookEvery == 0 {
+		targets = append(targets, n.lost()...)
+	}
+
 	var sends []Send
-	for _, to := range n.peers(1) {
+	for _, to := range targets {
 		sends = append(sends, Send{To: to, Message: n.digestMessage(false)})
 	}
 	return sends
 }
 
+// lost returns one balancer that is taken for dead, at random: without it the
+// two sides of a split would never turn to each other again.
+func (n *Node) lost() []netip.AddrPort {
+	lost := n.roster.LostBalancers()
+	if len(lost) == 0 {
+		return nil
+	}
+	return []netip.AddrPort{lost[n.random.IntN(len(lost))]}
+}
+
 // peers returns up to count other balancers at random.
 func (n *Node) peers(count int) []netip.AddrPort {
-	others := slices.DeleteFunc(addresses(n.ring), func(a netip.AddrPort) bool { return a == n.self.Address })
-	n.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others[:min(count, len(others))]
+	others := len(n.ring)
+	if n.isOnRing() {
+		others--
+	}
+
+	var chosen []netip.AddrPort
+	for len(chosen) < min(count, others) {
+		address := n.ring[n.random.IntN(len(n.ring))].Address
+		if address != n.self.Address && !slices.Contains(chosen, address) {
+			chosen = append(chosen, address)
+		}
+	}
+	return chosen
+}
+
+func (n *Node) isOnRing() bool {
+	m, ok := n.roster.Get(n.self.Address)
+	return ok && m.State != roster.Dead
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -104,31 +104,57 @@
 	members   map[netip.AddrPort]*entry
 	version   uint64
 	balancers uint64
+	doubtful  map[netip.AddrPort]doubt
+	digest    [Buckets]uint64
 }
 
 type entry struct {
-	member Member
-	died   time.Time
+	member  Member
+	learned time.Time
+}
+
+// Doubt tells how sure a death is.
+type Doubt uint8
+
+// The doubts.
+const (
+	// None is that of a member that is not dead, or whose death is confirmed.
+	None Doubt = 0
+	// Unconfirmed deaths may still be refuted.
+	Unconfirmed Doubt = 1
+	// Stale deaths are claimed by news that is older than it should be.
+	Stale Doubt = 2
+)
+
+type doubt struct {
+	kind  Doubt
+	until time.Time
 }
 
 // New returns an empty Roster.
 func New() *Roster {
-	return &Roster{members: map[netip.AddrPort]*entry{}}
+	return &Roster{members: map[netip.AddrPort]*entry{}, doubtful: map[netip.AddrPort]doubt{}}
 }
 
-// Merge takes a member if it is newer than what is known, and reports whether anything changed.
+// Merge takes a member if it is newer than what is known, and reports whether
+// anything changed. The death of an unknown member is nothing to remember.
 func (r *Roster) Merge(m Member, now time.Time) bool {
 	known, ok := r.members[m.Address]
 	if ok && !m.Newer(&known.member) {
 		return false
 	}
-
-	e := &entry{member: m}
-	if m.State == Dead {
-		e.died = now
+	if !ok && m.State == Dead {
+		return false
 	}
+
+	e := &entry{member: m, learned: now}
+	delete(r.doubtful, m.Address)
 	r.members[m.Address] = e
 	r.version++
+	if ok {
+		r.digest[bucket(m.Address)] ^= known.member.hash()
+	}
+	r.digest[bucket(m.Address)] ^= m.hash()
 	if m.Role == Balancer && (!ok || !m.Same(&known.member)) {
 		r.balancers++
 	}
@@ -174,28 +200,63 @@
 	return slices.DeleteFunc(r.Members(), func(m Member) bool { return m.Role != Balancer || m.State == Dead })
 }
 
-// Forget drops members that have been dead since before a time, and returns how many.
-func (r *Roster) Forget(before time.Time) int {
-	dropped := 0
+// LostBalancers returns the addresses of the dead balancers that are remembered, sorted.
+func (r *Roster) LostBalancers() []netip.AddrPort {
+	var lost []netip.AddrPort
 	for address, e := range r.members {
-		if e.member.State == Dead && e.died.Before(before) {
-			delete(r.members, address)
-			dropped++
+		if e.member.Role == Balancer && e.member.State == Dead {
+			lost = append(lost, address)
 		}
 	}
-	if dropped > 0 {
+	slices.SortFunc(lost, netip.AddrPort.Compare)
+	return lost
+}
+
+// Suspend puts the death of a member in doubt until a time.
+func (r *Roster) Suspend(address netip.AddrPort, kind Doubt, until time.Time) {
+	r.doubtful[address] = doubt{kind: kind, until: until}
+}
+
+// Confirm ends the doubts whose time is over.
+func (r *Roster) Confirm(now time.Time) {
+	for address, d := range r.doubtful {
+		if now.Before(d.until) {
+			continue
+		}
+		delete(r.doubtful, address)
 		r.version++
 	}
-	return dropped
+}
+
+// Doubt returns how sure the death of a member is.
+func (r *Roster) Doubt(address netip.AddrPort) Doubt {
+	return r.doubtful[address].kind
+}
+
+// Learned returns when the present record of a member was learned.
+func (r *Roster) Learned(address netip.AddrPort) time.Time {
+	e, ok := r.members[address]
+	if !ok {
+		return time.Time{}
+	}
+	return e.learned
+}
+
+// Forget drops members of a role that have been dead since before a time.
+func (r *Roster) Forget(role Role, before time.Time) {
+	for address, e := range r.members {
+		if e.member.Role == role && e.member.State == Dead && e.learned.Before(before) {
+			delete(r.members, address)
+			delete(r.doubtful, address)
+			r.digest[bucket(address)] ^= e.member.hash()
+			r.version++
+		}
+	}
 }
 
 // Digest returns a hash for each bucket of the table. Tables that agree have equal digests.
 func (r *Roster) Digest() [Buckets]uint64 {
-	var digest [Buckets]uint64
-	for _, e := range r.members {
-		digest[bucket(e.member.Address)] ^= e.member.hash()
-	}
-	return digest
+	return r.digest
 }
 
 // Differing returns the members in the buckets in which the table differs from a digest.
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -108,7 +108,7 @@
 func (l *Link) Members() []roster.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.node.Roster().Members()
+	return l.node.Members()
 }
 
 // Self returns the process's own record.
