Test the whole path in one process under failures of the upstream, the caller and the agent

Balancer, agent and a store stand-in run in the test's process over loopback. The balancer's data path moved from the command into a package.

--- /dev/null
+++ b/internal/transport/agent/agent_test.go
@@ -0,0 +1,291 @@
+package agent_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+// counting is an upstream that counts how often each key ran.
+type counting struct {
+	mu   sync.Mutex
+	runs map[string]int
+	then http.HandlerFunc
+}
+
+func (c *counting) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err == nil {
+		c.mu.Lock()
+		if c.runs == nil {
+			c.runs = map[string]int{}
+		}
+		c.runs[r.Header.Get("Idempotency-Key")]++
+		c.mu.Unlock()
+	}
+	c.then(w, r)
+}
+
+func (c *counting) count(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[key]
+}
+
+func hangUp(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		conn.Close()
+	}
+}
+
+func greet(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprint(w, "hello")
+}
+
+func TestAnswerIsWhole(t *testing.T) {
+	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 3<<20))
+	}))
+	if status, _, body := s.answer(s.client(), s.request("GET", "/big", "", nil)); status != 200 || len(body) != 3<<20 {
+		t.Errorf("got status %d with %d bytes", status, len(body))
+	}
+}
+
+func TestSubmissionRunsAtMostOnce(t *testing.T) {
+	bodies := map[string]string{"with a body": "signed", "without a body": ""}
+	for name, body := range bodies {
+		t.Run(name, func(t *testing.T) {
+			upstream := &counting{then: greet}
+			s := newSystem(t, upstream)
+			client := s.client()
+			s.answer(client, s.request("POST", "/submissions", "warm", strings.NewReader(body))) // leaves a connection behind
+
+			upstream.then = hangUp
+			status, outcome, _ := s.answer(client, s.request("POST", "/submissions", "k", strings.NewReader(body)))
+			if status != http.StatusBadGateway || outcome != "unknown" {
+				t.Errorf("got status %d, outcome %q; want 502, unknown", status, outcome)
+			}
+			if runs := upstream.count("k"); runs != 1 {
+				t.Errorf("the submission ran %d times", runs)
+			}
+
+			upstream.then = greet
+			if status, _, _ := s.answer(client, s.request("POST", "/submissions", "k", strings.NewReader(body))); status != http.StatusConflict {
+				t.Errorf("a repeat after an unknown outcome got status %d, want 409", status)
+			}
+			if runs := upstream.count("k"); runs != 1 {
+				t.Errorf("the submission ran %d times after it was sent again", runs)
+			}
+		})
+	}
+}
+
+func TestRepeatGetsTheFirstAnswer(t *testing.T) {
+	var serial atomic.Int32
+	upstream := &counting{then: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "claim %d", serial.Add(1)) }}
+	s := newSystem(t, upstream)
+	client := s.client()
+	for range 3 {
+		if _, _, body := s.answer(client, s.request("POST", "/breakdowns", "k", strings.NewReader("x"))); body != "claim 1" {
+			t.Errorf("got %q, want the first claim number", body)
+		}
+	}
+	if runs := upstream.count("k"); runs != 1 {
+		t.Errorf("the report ran %d times", runs)
+	}
+}
+
+func TestUnreachableUpstreamMeansNotRun(t *testing.T) {
+	s := newSystem(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := netip.MustParseAddrPort(listener.Addr().String())
+	listener.Close()
+	s.addAgent(freeUDP(t), closed)
+	s.waitForAgents(1)
+	status, outcome, _ := s.answer(s.client(), s.request("POST", "/submissions", "k", strings.NewReader("x")))
+	if status != http.StatusServiceUnavailable || outcome != "not-run" {
+		t.Errorf("got status %d, outcome %q; want 503, not-run", status, outcome)
+	}
+}
+
+func TestCutAnswerIsNotPassedOffAsWhole(t *testing.T) {
+	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write(make([]byte, 500))
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	response, err := s.client().Do(s.request("GET", "/reports/1", "", nil))
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	if err == nil {
+		t.Error("a cut answer ended like a whole one")
+	}
+}
+
+func TestCutAnswerWithoutLengthIsNotPassedOffAsWhole(t *testing.T) {
+	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "data: task 1 of 2\n")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	response, err := s.client().Do(s.request("GET", "/feeds/1", "", nil))
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	if err == nil {
+		t.Error("a cut feed ended like a whole one")
+	}
+}
+
+func TestLateAnswerIsSaidToBeUnknownAndCancelled(t *testing.T) {
+	cancelled := make(chan struct{})
+	s := newSystem(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	status, outcome, _ := s.answer(s.client(), s.request("GET", "/short", "", nil))
+	if status != http.StatusGatewayTimeout || outcome != "unknown" {
+		t.Errorf("got status %d, outcome %q; want 504, unknown", status, outcome)
+	}
+	select {
+	case <-cancelled:
+	case <-time.After(bound):
+		t.Error("the upstream was not told")
+	}
+}
+
+func TestCallerWhoLeavesCancelsTheRequest(t *testing.T) {
+	begun, cancelled := make(chan struct{}), make(chan struct{})
+	s := newSystem(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	_, err := s.client().Do(s.request("GET", "/x", "", nil).WithContext(ctx))
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	select {
+	case <-cancelled:
+	case <-time.After(bound):
+		t.Error("the upstream was not told")
+	}
+}
+
+func TestBadDatagramsChangeNothing(t *testing.T) {
+	s := newSystem(t, http.HandlerFunc(greet))
+	client := s.client()
+	s.answer(client, s.request("GET", "/x", "", nil))
+
+	random := rand.New(rand.NewPCG(1, 2))
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for _, to := range []netip.AddrPort{s.service, s.balancer.address, s.agents[0].address} {
+		for length := range 300 {
+			datagram := make([]byte, length*5)
+			for i := range datagram {
+				datagram[i] = byte(random.Uint32())
+			}
+			if _, err := conn.WriteTo(datagram, net.UDPAddrFromAddrPort(to)); err != nil && length < 200 {
+				t.Fatal(err)
+			}
+		}
+	}
+	if status, _, body := s.answer(client, s.request("GET", "/x", "", nil)); status != 200 || body != "hello" {
+		t.Errorf("got status %d, %q", status, body)
+	}
+}
+
+func TestReplacedAgentResetsOldFlowsAtOnce(t *testing.T) {
+	s := newSystem(t, http.HandlerFunc(greet))
+	client := s.client()
+	s.answer(client, s.request("GET", "/x", "", nil))
+
+	// The agent dies without a word: its socket closes under it.
+	old := s.agents[0]
+	old.link.Conn().Close()
+	old.stop()
+	<-old.done
+	started := make(chan struct{})
+	go func() {
+		s.addAgent(old.address, freeUDP(t))
+		close(started)
+	}()
+	<-started
+
+	_, err := client.Do(s.request("POST", "/x", "", strings.NewReader("x")))
+	var reset *quic.StatelessResetError
+	if !errors.As(err, &reset) {
+		t.Errorf("got %v, want a stateless reset", err)
+	}
+}
+
+func TestLeavingAgentCutsNothing(t *testing.T) {
+	release := make(chan struct{})
+	begun := make(chan struct{}, 1)
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/feeds/") {
+			fmt.Fprintln(w, "first")
+			w.(http.Flusher).Flush()
+			begun <- struct{}{}
+			<-release
+			fmt.Fprintln(w, "last")
+			return
+		}
+		fmt.Fprint(w, "hello")
+	})
+	s := newSystem(t, slow, slow)
+	client := s.client()
+	response, err := client.Do(s.request("GET", "/feeds/1", "", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+
+	for _, p := range s.agents {
+		p.link.Leave() // whichever has the feed
+	}
+	for _, p := range s.agents {
+		p.stop()
+	}
+	s.waitFor("the leaving to be known", func() bool {
+		for _, m := range s.balancer.link.Members() {
+			if m.Role == roster.Agent && m.State == roster.Alive {
+				return false
+			}
+		}
+		return true
+	})
+	close(release)
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != "first\nlast\n" {
+		t.Errorf("the feed was cut: %q, %v", body, err)
+	}
+}
--- /dev/null
+++ b/internal/transport/agent/system_test.go
@@ -0,0 +1,261 @@
+package agent_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	standin "github.com/coriandershift/coriandershift/internal/standin/store"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/connid"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/agent"
+	"github.com/coriandershift/coriandershift/internal/transport/edge"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/internal/transport/store"
+)
+
+const (
+	serverName = "public.coriandershift"
+
+	// bound is how long polls wait before a test fails.
+	bound = 20 * time.Second
+)
+
+var keys = keyset.Set{
+	ConnectionIDs: map[uint8][]byte{0: bytes.Repeat([]byte{1}, keyset.KeyLength)},
+	Cluster:       bytes.Repeat([]byte{2}, keyset.KeyLength),
+}
+
+// system is one balancer with agents before upstreams, in this process.
+type system struct {
+	t        *testing.T
+	cfg      *config.Config
+	balancer *process
+	agents   []*process
+	service  netip.AddrPort
+	store    *store.Client
+	public   setup.Certificate
+	roots    *x509.CertPool
+}
+
+// process is a balancer or an agent.
+type process struct {
+	link    *link.Link
+	metrics *metric.Set
+	address netip.AddrPort
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func newSystem(t *testing.T, upstreams ...http.Handler) *system {
+	s := &system{t: t, service: freeUDP(t)}
+	s.makeCertificate()
+	platform := httptest.NewServer(standin.New().Handler())
+	t.Cleanup(platform.Close)
+	s.store = store.New(platform.URL)
+	s.cfg = &config.Config{
+		Revision: 1,
+		Domains:  []config.Domain{{Name: "d1", Number: 1}, {Name: "d2", Number: 2}},
+		Services: []config.Service{{
+			Name: "checklists", Tenant: "higieniza", Number: 1, Addresses: []string{s.service.String()},
+			Limits: config.Limits{Slots: 5, ColdSlots: 5, Connections: 100, Queue: 5, WarmUp: 0},
+			Classes: []config.Class{
+				{Name: "feed", Method: "GET", PathPrefix: "/feeds/", Priority: 2, Feed: true, Timeout: 10_000},
+				{Name: "short", PathPrefix: "/short", Priority: 3, Timeout: 300},
+				{Name: "other", PathPrefix: "/", Priority: 1, Timeout: 10_000},
+			},
+		}},
+	}
+
+	s.balancer = s.newProcess(roster.Member{Role: roster.Balancer, Name: "balancer", Domain: "d1", Admin: freeUDP(t)})
+	balancer := edge.New(edge.Options{
+		Log: quiet(), Metrics: s.balancer.metrics, Link: s.balancer.link, Keys: keys, IDs: connid.New(keys),
+	})
+	s.run(s.balancer, func(ctx context.Context) { _ = balancer.Run(ctx, func(bool) {}) })
+
+	for _, handler := range upstreams {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		s.addAgent(freeUDP(t), netip.MustParseAddrPort(server.Listener.Addr().String()))
+	}
+	s.waitForAgents(len(upstreams))
+	return s
+}
+
+func (s *system) newProcess(self roster.Member) *process {
+	if !self.Address.IsValid() {
+		self.Address = freeUDP(s.t)
+	}
+	self.Incarnation = uint64(time.Now().UnixMilli())
+	p := &process{address: self.Address, metrics: metric.New(), done: make(chan struct{})}
+
+	options := link.Options{Self: self, Keys: keys, Log: quiet(), Metrics: p.metrics, Store: s.store}
+	if s.balancer != nil {
+		options.Seeds = []netip.AddrPort{s.balancer.address}
+	}
+	l, err := link.Listen(options)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	l.Adopt(s.cfg, "test")
+	p.link = l
+	return p
+}
+
+func (s *system) run(p *process, run func(context.Context)) {
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	go func() {
+		run(ctx)
+		close(p.done)
+	}()
+	s.t.Cleanup(func() {
+		stop()
+		<-p.done
+	})
+}
+
+func (s *system) addAgent(address, upstream netip.AddrPort) *process {
+	p := s.newProcess(roster.Member{
+		Address: address, Role: roster.Agent, Name: "a", Domain: "d2", Service: "checklists", Weight: roster.MaxWeight,
+	})
+	settings := &setup.Settings{Name: "a", Domain: "d2", Address: address, Agent: &setup.AgentSettings{
+		Service: "checklists", Upstream: upstream, Public: s.public, MaxBody: 1 << 20, Drain: setup.Duration(5 * time.Second),
+	}}
+	a := agent.New(settings, keys, connid.New(keys), p.link, quiet(), p.metrics)
+	s.run(p, func(ctx context.Context) { _ = a.Run(ctx) })
+	s.agents = append(s.agents, p)
+	return p
+}
+
+// waitForAgents waits until the balancer knows agents that take new flows.
+func (s *system) waitForAgents(count int) {
+	s.t.Helper()
+	s.waitFor("agents", func() bool {
+		alive := 0
+		for _, m := range s.balancer.link.Members() {
+			if m.Role == roster.Agent && m.State == roster.Alive && m.Weight > 0 {
+				alive++
+			}
+		}
+		return alive == count
+	})
+	time.Sleep(100 * time.Millisecond) // the routing table follows the members
+}
+
+func (s *system) waitFor(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	s.t.Fatalf("waited in vain for %s", what)
+}
+
+// client returns an HTTP client with a flow of its own.
+func (s *system) client() *http.Client {
+	transport := &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: s.roots, ServerName: serverName},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: 10 * time.Second, KeepAlivePeriod: time.Second},
+	}
+	s.t.Cleanup(func() { transport.Close() })
+	return &http.Client{Transport: transport}
+}
+
+func (s *system) request(method, path, key string, body io.Reader) *http.Request {
+	s.t.Helper()
+	r, err := http.NewRequestWithContext(s.t.Context(), method, "https://"+s.service.String()+path, body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	return r
+}
+
+// answer carries a request out and returns its status, outcome header and body.
+func (s *system) answer(client *http.Client, r *http.Request) (int, string, string) {
+	s.t.Helper()
+	response, err := client.Do(r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return response.StatusCode, response.Header.Get("Request-Outcome"), string(body)
+}
+
+func (s *system) makeCertificate() {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{serverName}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	dir := s.t.TempDir()
+	s.public = setup.Certificate{CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem")}
+	cert := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	s.write(s.public.CertFile, cert)
+	s.write(s.public.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}))
+	s.roots = x509.NewCertPool()
+	s.roots.AppendCertsFromPEM(cert)
+}
+
+func (s *system) write(path string, data []byte) {
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func freeUDP(t *testing.T) netip.AddrPort {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return netip.MustParseAddrPort(conn.LocalAddr().String())
+}
+
+func quiet() *slog.Logger {
+	return slog.New(slog.DiscardHandler)
+}
--- /dev/null
+++ b/internal/transport/edge/edge.go
@@ -0,0 +1,121 @@
+// Package edge runs a balancer: it keeps the routing table and the services'
+// sockets in step with the configuration and the members.
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/route"
+	"github.com/coriandershift/coriandershift/internal/state/connid"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/internal/transport/relay"
+)
+
+const (
+	// tableEvery bounds how often the routing table is made anew.
+	tableEvery = 50 * time.Millisecond
+
+	listenRetry = time.Second
+)
+
+// Balancer is the data path of an entry VM.
+type Balancer struct {
+	log     *slog.Logger
+	metrics *metric.Set
+	link    *link.Link
+	router  *route.Router
+	relay   *relay.Relay
+}
+
+// Options are what a Balancer needs.
+type Options struct {
+	Log     *slog.Logger
+	Metrics *metric.Set
+	Link    *link.Link
+	Keys    keyset.Set
+	IDs     *connid.Codec
+
+	// Frontend, if valid, replaces the IP address of the services' addresses.
+	Frontend netip.Addr
+}
+
+// New returns a Balancer on a link.
+func New(o Options) *Balancer {
+	router := route.New(o.Keys, o.IDs)
+	return &Balancer{
+		log:     o.Log,
+		metrics: o.Metrics,
+		link:    o.Link,
+		router:  router,
+		relay: relay.New(relay.Options{
+			Log:      o.Log,
+			Metrics:  o.Metrics,
+			Router:   router,
+			Keys:     o.Keys,
+			Node:     o.Link.Conn(),
+			Control:  o.Link.Control,
+			Frontend: o.Frontend,
+		}),
+	}
+}
+
+// Run moves datagrams until the context ends or the socket fails. It reports
+// to healthy whether the balancer can take traffic.
+func (b *Balancer) Run(ctx context.Context, healthy func(bool)) error {
+	go b.link.Run(ctx)
+	go b.follow(ctx, healthy)
+	return b.relay.Run(ctx)
+}
+
+// follow makes the routing table anew when the configuration or the members change.
+func (b *Balancer) follow(ctx context.Context, healthy func(bool)) {
+	retry := time.NewTicker(listenRetry)
+	defer retry.Stop()
+
+	failed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.link.Changed():
+			failed = !b.apply(healthy)
+			time.Sleep(tableEvery)
+		case <-retry.C:
+			if failed {
+				failed = !b.apply(healthy)
+			}
+		}
+	}
+}
+
+// apply takes the current configuration and members into use, and reports
+// whether all service addresses are open.
+func (b *Balancer) apply(healthy func(bool)) bool {
+	cfg := b.link.Config()
+	members := b.link.Members()
+	b.router.Update(cfg, members)
+	b.metrics.Members.Set(float64(countAlive(members)))
+
+	err := b.relay.Update(cfg)
+	if err != nil {
+		b.log.Error("service address not opened", "error", err)
+	}
+	healthy(err == nil && cfg.Revision > 0 && b.link.Self().State == roster.Alive)
+	return err == nil
+}
+
+func countAlive(members []roster.Member) int {
+	alive := 0
+	for i := range members {
+		if members[i].State != roster.Dead {
+			alive++
+		}
+	}
+	return alive
+}
