Guard idempotency keys across agents and pass requests on to peers with room

Agents learn their peers by acknowledgements that carry the list only when its hash differs. Not covered: both guards of a key lost between two tries.

--- a/cmd/coriandershiftd/cmd_agent.go
+++ b/cmd/coriandershiftd/cmd_agent.go
@@ -4,6 +4,7 @@
 	"github.com/coriandershift/coriandershift/internal/clitab"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/admin"
 	"github.com/coriandershift/coriandershift/internal/transport/agent"
 )
 
@@ -31,8 +32,21 @@
 	go d.reloadKeys(ctx)
 	d.healthy.Store(true)
 
+	peers, err := admin.TLS(d.settings.Peers)
+	if err != nil {
+		return err
+	}
+
 	d.log.Info("agent started", "address", d.settings.Address, "service", d.settings.Agent.Service)
-	err = agent.New(d.settings, d.keys, d.ids, d.link, d.log, d.metrics).Run(ctx)
+	err = agent.New(agent.Options{
+		Settings: d.settings,
+		Keys:     d.keys,
+		IDs:      d.ids,
+		Link:     d.link,
+		Peers:    peers,
+		Log:      d.log,
+		Metrics:  d.metrics,
+	}).Run(ctx)
 	d.log.Info("agent stopped")
 	return ignoreCancelled(err)
 }
@@ -41,6 +55,7 @@
 	m := roster.Member{Address: s.Address, Role: roster.Agent, Name: s.Name, Domain: s.Domain}
 	if s.Agent != nil {
 		m.Service = s.Agent.Service
+		m.Admin = s.Agent.Peer
 	}
 	return m
 }
--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -42,7 +41,7 @@
 	}
 
 	n.learn(now, m.From)
-	return []Send{{To: m.From.Address, Message: n.ack(m.From.Address)}}
+	return []Send{{To: m.From.Address, Message: n.ack(m)}}
 }
 
 // learn takes a record that came from the member itself. Only a change of
@@ -65,9 +64,21 @@
 	return true
 }
 
-func (n *Node) ack(to netip.AddrPort) Message {
+func (n *Node) ack(beat Message) Message {
 	m := n.message(Ack)
-	m.Homes = addresses(roster.HomesOf(to, n.ring))
+	m.Homes = addresses(roster.HomesOf(beat.From.Address, n.ring))
+	if beat.From.Role != roster.Agent {
+		return m
+	}
+
+	peers := n.roster.Agents(beat.From.Service)
+	peers = peers[:min(len(peers), maxPeers)]
+	for i := range peers {
+		peers[i].Name, peers[i].Service = "", "" // known, or of no use, to the receiver
+	}
+	if roster.HashOf(peers) != beat.PeersHash {
+		m.Peers = peers
+	}
 	return m
 }
 
@@ -77,6 +88,9 @@
 		if len(m.Homes) > 0 {
 			n.homes = m.Homes
 		}
+		if len(m.Peers) > 0 {
+			n.peerAgents = m.Peers
+		}
 		return
 	}
 	n.learn(now, m.From)
--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -42,6 +42,14 @@
 	// Homes are the balancers to which the receiver shall send its heartbeats.
 	Homes []netip.AddrPort `cbor:"6,keyasint,omitempty"`
 
+	// Peers are the agents of the receiver's service, at most maxPeers, without
+	// name and service. An acknowledgement holds them if the heartbeat's
+	// PeersHash shows that the agent has others.
+	Peers []roster.Member `cbor:"8,keyasint,omitempty"`
+
+	// PeersHash is the hash of the peers that the sender of a heartbeat has.
+	PeersHash uint64 `cbor:"9,keyasint,omitempty"`
+
 	// Reply says that a digest answers another one, so that it is not answered again.
 	Reply bool `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -54,6 +54,7 @@
 
 	fanout       = 3
 	maxMembers   = 10 // fits a datagram of 1,200 bytes
+	maxPeers     = 16 // agents of one service that know each other; fits the same datagram
 	maxRepair    = 30 // messages that answer one digest
 	spreadFactor = 3
 )
@@ -66,8 +67,9 @@
 	seeds    []netip.AddrPort
 	revision uint64
 
-	homes   []netip.AddrPort
-	lastAck time.Time
+	homes      []netip.AddrPort
+	peerAgents []roster.Member
+	lastAck    time.Time
 
 	heard   map[netip.AddrPort]contact
 	rumours map[netip.AddrPort]int
@@ -130,6 +132,11 @@
 	return n.self
 }
 
+// Peers returns the agents of the same service, this one among them. It must not be changed.
+func (n *Node) Peers() []roster.Member {
+	return n.peerAgents
+}
+
 // SetSeeds names balancers to turn to when no home answers.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) {
 	n.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == n.self.Address })
@@ -238,9 +245,11 @@
 		targets = append(slices.Clone(n.homes), n.seeds...)
 	}
 
+	beat := n.message(Heartbeat)
+	beat.PeersHash = roster.HashOf(n.peerAgents)
 	var sends []Send
 	for _, to := range targets {
-		sends = append(sends, Send{To: to, Message: n.message(Heartbeat)})
+		sends = append(sends, Send{To: to, Message: beat})
 	}
 	return sends
 }
--- a/internal/state/dedup/dedup.go
+++ b/internal/state/dedup/dedup.go
@@ -13,7 +13,8 @@
 	// Remembered is the number of keys remembered.
 	Remembered = 16384
 
-	// RememberFor is how long a key is remembered after its request ended.
+	// RememberFor is how long a key is remembered after its request began or
+	// ended. No request may run longer.
 	RememberFor = 10 * time.Minute
 
 	// MaxAnswer is the length of the longest answer that is kept, in bytes.
@@ -68,10 +69,10 @@
 // answer is set for a Done key whose answer was kept.
 func (t *Table) Begin(now time.Time, key string) (Status, *Answer) {
 	r, ok := t.known.Get(key)
-	if ok && (r.status == Running || now.Before(r.until)) {
+	if ok && now.Before(r.until) {
 		return r.status, r.answer
 	}
-	t.known.Add(key, record{status: Running})
+	t.known.Add(key, record{status: Running, until: now.Add(RememberFor)})
 	return Unknown, nil
 }
 
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -55,7 +55,7 @@
 	Role Role `cbor:"2,keyasint"`
 
 	// Name is the operators' name of the VM.
-	Name string `cbor:"3,keyasint"`
+	Name string `cbor:"3,keyasint,omitempty"`
 
 	// Domain is the name of the member's failure domain.
 	Domain string `cbor:"4,keyasint"`
@@ -63,7 +63,7 @@
 	// Service is the name of the service of an agent's upstream; empty for a balancer.
 	Service string `cbor:"5,keyasint,omitempty"`
 
-	// Admin is where a balancer answers operators and peers; unset for an agent.
+	// Admin is where a balancer answers operators and peers, and an agent its peers.
 	Admin netip.AddrPort `cbor:"6,keyasint,omitempty"`
 
 	// Incarnation grows with every start of the process: its start in Unix milliseconds.
@@ -106,6 +106,7 @@
 	balancers uint64
 	doubtful  map[netip.AddrPort]doubt
 	digest    [Buckets]uint64
+	services  map[string]map[netip.AddrPort]bool
 }
 
 type entry struct {
@@ -133,7 +134,7 @@
 
 // New returns an empty Roster.
 func New() *Roster {
-	return &Roster{members: map[netip.AddrPort]*entry{}, doubtful: map[netip.AddrPort]doubt{}}
+	return &Roster{members: map[netip.AddrPort]*entry{}, doubtful: map[netip.AddrPort]doubt{}, services: map[string]map[netip.AddrPort]bool{}}
 }
 
 // Merge takes a member if it is newer than what is known, and reports whether
@@ -155,6 +156,7 @@
 		r.digest[bucket(m.Address)] ^= known.member.hash()
 	}
 	r.digest[bucket(m.Address)] ^= m.hash()
+	r.index(m)
 	if m.Role == Balancer && (!ok || !m.Same(&known.member)) {
 		r.balancers++
 	}
@@ -195,6 +197,19 @@
 	return members
 }
 
+// Agents returns the agents of a service that are not dead, sorted by address.
+func (r *Roster) Agents(service string) []Member {
+	var agents []Member
+	for address := range r.services[service] {
+		m := r.members[address].member
+		if m.State != Dead && m.Service == service {
+			agents = append(agents, m)
+		}
+	}
+	slices.SortFunc(agents, func(a, b Member) int { return a.Address.Compare(b.Address) })
+	return agents
+}
+
 // Balancers returns the balancers that are not dead, sorted by address.
 func (r *Roster) Balancers() []Member {
 	return slices.DeleteFunc(r.Members(), func(m Member) bool { return m.Role != Balancer || m.State == Dead })
@@ -249,6 +264,7 @@
 			delete(r.members, address)
 			delete(r.doubtful, address)
 			r.digest[bucket(address)] ^= e.member.hash()
+			delete(r.services[e.member.Service], address)
 			r.version++
 		}
 	}
@@ -273,6 +289,27 @@
 	return members
 }
 
+func (r *Roster) index(m Member) {
+	if m.Role != Agent {
+		return
+	}
+	if r.services[m.Service] == nil {
+		r.services[m.Service] = map[netip.AddrPort]bool{}
+	}
+	r.services[m.Service][m.Address] = true
+}
+
+// HashOf returns a hash over the records of members, whatever their sequences.
+func HashOf(members []Member) uint64 {
+	var hash uint64
+	for i := range members {
+		m := members[i]
+		m.Sequence = 0
+		hash ^= m.hash()
+	}
+	return hash
+}
+
 func bucket(address netip.AddrPort) int {
 	return int(Hash(address) % Buckets)
 }
--- a/internal/state/setup/check.go
+++ b/internal/state/setup/check.go
@@ -37,6 +37,7 @@
 func (a *AgentSettings) check(doc *document) {
 	doc.require("agent.service", a.Service != "", "must be set")
 	doc.require("agent.upstream", a.Upstream.IsValid(), "must be an IP address and port")
+	doc.require("agent.peer", a.Peer.IsValid(), "must be an IP address and port")
 	doc.require("agent.drain", a.Drain >= 0, "must not be negative")
 	a.Public.check(doc, "agent.public")
 }
@@ -52,6 +53,7 @@
 		doc.require("balancer.admin", s.Balancer.Admin != s.Address, "is in use by address already")
 	}
 	if s.Agent != nil {
+		doc.require("agent.peer", s.Agent.Peer != s.Address, "is in use by address already")
 		doc.require("agent.upstream", s.Agent.Upstream != s.Metrics, "is in use by metrics already")
 	}
 
--- a/internal/state/setup/setup.go
+++ b/internal/state/setup/setup.go
@@ -76,6 +76,9 @@
 	// Upstream is the IP address and TCP port of the upstream.
 	Upstream netip.AddrPort `json:"upstream"`
 
+	// Peer takes the calls of the service's other agents over QUIC.
+	Peer netip.AddrPort `json:"peer"`
+
 	// Public is the certificate that callers see.
 	Public Certificate `json:"public"`
 
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -21,7 +21,6 @@
 	"github.com/coriandershift/coriandershift/internal/protocol/encap"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/connid"
-	"github.com/coriandershift/coriandershift/internal/state/dedup"
 	"github.com/coriandershift/coriandershift/internal/state/gate"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -50,6 +49,7 @@
 	link      *link.Link
 	ids       *connid.Codec
 	keys      keyset.Set
+	peers     *tls.Config
 	admission *admission
 	handler   *handler
 	conn      *packetConn
@@ -62,32 +62,53 @@
 	server *http3.Server
 }
 
+// Options are what an Agent needs.
+type Options struct {
+	Settings *setup.Settings
+	Keys     keyset.Set
+	IDs      *connid.Codec
+	Link     *link.Link
+
+	// Peers is the mutual TLS configuration between agents.
+	Peers *tls.Config
+
+	Log     *slog.Logger
+	Metrics *metric.Set
+}
+
 // New returns an Agent on a link.
-func New(settings *setup.Settings, keys keyset.Set, ids *connid.Codec, l *link.Link, log *slog.Logger, metrics *metric.Set) *Agent {
+func New(o Options) *Agent {
+	settings, l := o.Settings, o.Link
 	a := &Agent{
-		log:       log,
-		metrics:   metrics,
+		log:       o.Log,
+		metrics:   o.Metrics,
 		settings:  settings,
 		link:      l,
-		ids:       ids,
-		keys:      keys,
-		admission: newAdmission(metrics),
+		ids:       o.IDs,
+		keys:      o.Keys,
+		peers:     o.Peers,
+		admission: newAdmission(o.Metrics),
 	}
+
+	client := newPeerClient(o.Peers)
+	ledger := newLedger()
 	a.handler = &handler{
-		log:       log,
-		metrics:   metrics,
+		log:       o.Log,
+		metrics:   o.Metrics,
 		domain:    settings.Domain,
 		maxBody:   int64(settings.Agent.MaxBody),
 		service:   a.currentService,
 		admission: a.admission,
 		upstream:  newUpstream(settings.Agent.Upstream),
-		dedup:     dedup.New(),
+		ledger:    ledger,
+		guard:     &guard{self: settings.Address, ledger: ledger, peers: l.Peers, client: client},
+		passing:   &passing{self: settings.Address, peers: l.Peers, client: client, budget: passBurst},
 	}
 	a.conn = newPacketConn(&packetConn{
 		socket:  l.Conn(),
-		codec:   encap.New(keys),
-		ids:     ids,
-		metrics: metrics,
+		codec:   encap.New(o.Keys),
+		ids:     o.IDs,
+		metrics: o.Metrics,
 		control: l.Control,
 		mayTake: a.mayTake,
 		service: a.serviceNumber,
@@ -123,6 +144,7 @@
 	go a.admission.run(background)
 	go a.follow(background)
 	go a.accept(background, listener)
+	go a.servePeers(background)
 
 	<-ctx.Done()
 	a.leave()
@@ -145,6 +167,13 @@
 	}
 }
 
+func (a *Agent) servePeers(ctx context.Context) {
+	server := &peerServer{handler: a.handler}
+	if err := server.serve(ctx, a.settings.Agent.Peer, a.peers, a.keys); err != nil {
+		a.log.Error("peers are not served", "error", err)
+	}
+}
+
 func (a *Agent) serve(server *http3.Server, conn *quic.Conn) {
 	a.metrics.Connections.Set(float64(a.connections.Add(1)))
 	defer func() { a.metrics.Connections.Set(float64(a.connections.Add(-1))) }()
--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
@@ -109,6 +110,83 @@
 	}
 }
 
+func TestRepeatThroughAnotherAgentRunsOnce(t *testing.T) {
+	var serial atomic.Int32
+	upstream := &counting{then: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "claim %d", serial.Add(1)) }}
+	s := newSystem(t, upstream, upstream, upstream)
+	s.waitForPeers(3)
+
+	for i := range 12 { // each flow goes to an agent by chance
+		status, _, body := s.answer(s.client(), s.request("POST", "/breakdowns", "k", strings.NewReader("x")))
+		if i == 0 && body != "claim 1" || i > 0 && body != "claim 1" && status != http.StatusConflict {
+			t.Errorf("request %d got status %d, %q", i, status, body)
+		}
+	}
+	if runs := upstream.count("k"); runs != 1 {
+		t.Errorf("the report ran %d times", runs)
+	}
+}
+
+func TestRepeatsAtOnceRunOnce(t *testing.T) {
+	upstream := &counting{then: func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		greet(w, r)
+	}}
+	s := newSystem(t, upstream, upstream, upstream)
+	s.waitForPeers(3)
+
+	var callers sync.WaitGroup
+	var whole atomic.Int32
+	for range 9 {
+		client := s.client()
+		callers.Go(func() {
+			if status, _, _ := s.answer(client, s.request("POST", "/breakdowns", "k", strings.NewReader("x"))); status == 200 {
+				whole.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	if runs := upstream.count("k"); runs != 1 || whole.Load() == 0 {
+		t.Errorf("the report ran %d times, %d callers have its answer", runs, whole.Load())
+	}
+}
+
+func TestFullAgentPassesOn(t *testing.T) {
+	release, begun := make(chan struct{}), make(chan struct{}, 1)
+	blocked := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		<-release
+		greet(w, r)
+	})
+	s := newSystemWith(t, func(limits *config.Limits) { limits.Slots, limits.ColdSlots, limits.Queue = 1, 1, 0 }, blocked, http.HandlerFunc(greet))
+	s.waitForPeers(2)
+	defer close(release)
+
+	// Flows go to an agent by chance: the first that reaches the blocked one fills it.
+	full := false
+	for !full {
+		client := s.client()
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			if response, err := client.Do(s.request("GET", "/x", "", nil)); err == nil {
+				response.Body.Close()
+			}
+		}()
+		select {
+		case <-begun:
+			full = true
+		case <-answered:
+		}
+	}
+
+	for range 12 {
+		if status, outcome, body := s.answer(s.client(), s.request("POST", "/x", "", strings.NewReader("x"))); status != 200 {
+			t.Errorf("got status %d, outcome %q, %q although a peer had room", status, outcome, body)
+		}
+	}
+}
+
 func TestUnreachableUpstreamMeansNotRun(t *testing.T) {
 	s := newSystem(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/transport/agent/handler.go
+++ b/internal/transport/agent/handler.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,9 +40,9 @@
 	service   func() (config.Service, bool)
 	admission *admission
 	upstream  *upstream
-
-	mu    sync.Mutex
-	dedup *dedup.Table
+	ledger    *ledger
+	guard     *guard
+	passing   *passing
 }
 
 // exchange is one request on its way.
@@ -55,6 +54,8 @@
 	started  time.Time
 	deadline time.Time
 	key      string
+	granted  *grant
+	passed   bool // came from a peer, which holds the key and decides what is next
 	id       uint64
 	sent     int64
 	outcome  string
@@ -68,17 +69,31 @@
 	if !ok {
 		return
 	}
+	defer h.observe(x)
 
-	defer func() {
-		h.metrics.ObserveRequest(x.service.Tenant, x.class.Name, x.outcome, time.Since(x.started), x.sent)
-	}()
-
+	h.passing.earn()
 	if x.key != "" && !h.claim(x) {
 		return
 	}
 	h.admit(x)
 }
 
+// servePassed answers a request that a peer has passed on.
+func (h *handler) servePassed(w http.ResponseWriter, r *http.Request) {
+	x, ok := h.newExchange(w, r)
+	if !ok {
+		return
+	}
+	defer h.observe(x)
+
+	x.passed = true
+	h.admit(x)
+}
+
+func (h *handler) observe(x *exchange) {
+	h.metrics.ObserveRequest(x.service.Tenant, x.class.Name, x.outcome, time.Since(x.started), x.sent)
+}
+
 func (h *handler) newExchange(w http.ResponseWriter, r *http.Request) (*exchange, bool) {
 	service, known := h.service()
 	if !known {
@@ -121,21 +136,19 @@
 
 // claim takes the idempotency key, or answers a repeat.
 func (h *handler) claim(x *exchange) bool {
-	h.mu.Lock()
-	status, answer := h.dedup.Begin(time.Now(), x.key)
-	h.mu.Unlock()
+	granted, status, answer := h.guard.claim(x.r.Context(), x.key)
+	if status == dedup.Unknown {
+		x.granted = granted
+		return true
+	}
 
+	x.outcome = "repeated"
 	switch status {
-	case dedup.Unknown:
-		return true
 	case dedup.Done:
-		x.outcome = "repeated"
 		h.replay(x, answer)
 	case dedup.Running:
-		x.outcome = "repeated"
 		refuseRepeat(x.w, "a request with this idempotency key is running")
 	case dedup.Lost:
-		x.outcome = "repeated"
 		refuseRepeat(x.w, "a request with this idempotency key started and its outcome is unknown")
 	}
 	return false
@@ -151,24 +164,6 @@
 	_, _ = x.w.Write(answer.Body) // the caller sees a cut answer
 }
 
-func (h *handler) release(x *exchange) {
-	if x.key == "" {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.dedup.Release(x.key)
-}
-
-func (h *handler) end(x *exchange, status dedup.Status, answer *dedup.Answer) {
-	if x.key == "" {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.dedup.End(time.Now(), x.key, status, answer)
-}
-
 func (h *handler) admit(x *exchange) {
 	id, action, err := h.admission.admit(x.r.Context(), gate.Request{
 		Priority: x.class.Priority,
@@ -177,15 +172,12 @@
 	})
 	if err != nil {
 		x.outcome = "cancelled"
-		h.release(x)
+		h.guard.settle(x.granted, dedup.Unknown, nil)
 		return
 	}
 
 	if action.Verdict == gate.Refuse {
-		x.outcome = "refused"
-		h.release(x)
-		h.metrics.Refusals.WithLabelValues(x.service.Tenant, x.class.Name, string(action.Reason)).Inc()
-		notRun(x.w, http.StatusServiceUnavailable, "upstream takes no more work: "+string(action.Reason), action.RetryAfter)
+		h.refuse(x, action)
 		return
 	}
 
@@ -193,6 +185,38 @@
 	h.run(x)
 }
 
+// refuse passes a request on that may not start here, or refuses it.
+func (h *handler) refuse(x *exchange, action gate.Action) {
+	if !x.passed && h.passOn(x) {
+		return
+	}
+
+	x.outcome = "refused"
+	h.guard.settle(x.granted, dedup.Unknown, nil)
+	h.metrics.Refusals.WithLabelValues(x.service.Tenant, x.class.Name, string(action.Reason)).Inc()
+	notRun(x.w, http.StatusServiceUnavailable, "upstream takes no more work: "+string(action.Reason), action.RetryAfter)
+}
+
+// passOn reports whether a peer has dealt with the request, for good or ill.
+func (h *handler) passOn(x *exchange) bool {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+
+	response, err := h.passing.pass(ctx, x)
+	if err != nil {
+		h.fail(x, attempt{err: err, reached: true}, context.Cause(ctx))
+		return true
+	}
+	if response == nil {
+		return false
+	}
+
+	defer response.Body.Close()
+	h.metrics.Passed.WithLabelValues(x.service.Tenant, x.class.Name).Inc()
+	h.relay(x, response)
+	return true
+}
+
 // run sends the request to the upstream and its answer to the caller.
 func (h *handler) run(x *exchange) {
 	ctx, cancel := context.WithCancelCause(x.r.Context())
@@ -227,12 +251,12 @@
 func (h *handler) fail(x *exchange, a attempt, cause error) {
 	if x.r.Context().Err() != nil {
 		x.outcome = "cancelled"
-		h.endUnanswered(x, a.reached)
+		h.settleUnanswered(x, a.reached)
 		return
 	}
 
 	h.log.Warn("upstream failed", "class", x.class.Name, "reached", a.reached, "error", a.err)
-	h.endUnanswered(x, a.reached)
+	h.settleUnanswered(x, a.reached)
 	if !a.reached {
 		x.outcome = "refused"
 		h.metrics.Refusals.WithLabelValues(x.service.Tenant, x.class.Name, "unreachable").Inc()
@@ -249,12 +273,12 @@
 	http.Error(x.w, "upstream failed during the request", http.StatusBadGateway)
 }
 
-func (h *handler) endUnanswered(x *exchange, reached bool) {
+func (h *handler) settleUnanswered(x *exchange, reached bool) {
+	status := dedup.Unknown
 	if reached {
-		h.end(x, dedup.Lost, nil)
-		return
+		status = dedup.Lost
 	}
-	h.release(x)
+	h.guard.settle(x.granted, status, nil)
 }
 
 // relay streams the answer. The stream ends only after the whole answer; an
@@ -264,20 +288,22 @@
 		response.Header.Del(name)
 	}
 	copyHeader(x.w.Header(), response.Header)
-	x.w.Header().Set(headerDomain, h.domain)
+	if !x.passed {
+		x.w.Header().Set(headerDomain, h.domain)
+	}
 	x.w.WriteHeader(response.StatusCode)
 
 	kept, err := h.stream(x, response.Body)
 	if err != nil {
 		x.outcome = "broken"
-		h.end(x, dedup.Lost, nil)
+		h.guard.settle(x.granted, dedup.Lost, nil)
 		h.metrics.Broken.WithLabelValues("answerCut").Inc()
 		h.log.Warn("answer broke off", "class", x.class.Name, "sent", x.sent, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 
 	x.outcome = "whole"
-	h.end(x, dedup.Done, answerOf(response, kept))
+	h.guard.settle(x.granted, dedup.Done, answerOf(response, kept))
 }
 
 // stream copies the body and returns its start, nil if it is longer than dedup.MaxAnswer.
--- /dev/null
+++ b/internal/transport/agent/peer_server.go
@@ -0,0 +1,105 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/coriandershift/coriandershift/internal/state/dedup"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/transport/relay"
+)
+
+const (
+	pathClaim  = "/v1/claim"
+	pathSettle = "/v1/settle"
+	pathPass   = "/v1/pass"
+)
+
+// peerServer answers the other agents of the service.
+type peerServer struct {
+	handler *handler
+}
+
+// serve answers peers at an address until the context ends.
+func (s *peerServer) serve(ctx context.Context, address netip.AddrPort, tlsConfig *tls.Config, keys keyset.Set) error {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	defer conn.Close()
+
+	transport := &quic.Transport{Conn: conn, StatelessResetKey: (*quic.StatelessResetKey)(relay.ResetKey(keys))}
+	defer transport.Close()
+	listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(tlsConfig), &quic.Config{MaxIdleTimeout: peerIdle, MaxIncomingStreams: 1000})
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+
+	server := &http3.Server{Handler: s.mux()}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	err = server.ServeListener(listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "serve peers")
+}
+
+func (s *peerServer) mux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathClaim, s.claim)
+	mux.HandleFunc("POST "+pathSettle, s.settle)
+	mux.Handle(pathPass+"/", http.HandlerFunc(s.pass))
+	return mux
+}
+
+func (s *peerServer) claim(w http.ResponseWriter, r *http.Request) {
+	request, ok := readClaim(w, r)
+	if !ok {
+		return
+	}
+	status, answer := s.handler.ledger.begin(time.Now(), request.Key)
+	writeClaim(w, claimAnswer{Status: status, Answer: answer})
+}
+
+func (s *peerServer) settle(w http.ResponseWriter, r *http.Request) {
+	request, ok := readClaim(w, r)
+	if !ok {
+		return
+	}
+	s.handler.ledger.settle(time.Now(), request.Key, request.Status, request.Answer)
+	writeClaim(w, claimAnswer{Status: dedup.Unknown})
+}
+
+// pass runs a request that a peer has passed on.
+func (s *peerServer) pass(w http.ResponseWriter, r *http.Request) {
+	r.URL.Path = strings.TrimPrefix(r.URL.Path, pathPass)
+	r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, pathPass)
+	s.handler.servePassed(w, r)
+}
+
+func readClaim(w http.ResponseWriter, r *http.Request) (claimRequest, bool) {
+	var request claimRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxClaim)).Decode(&request)
+	if err != nil || request.Key == "" || len(request.Key) > maxKey {
+		http.Error(w, "malformed claim", http.StatusBadRequest)
+		return claimRequest{}, false
+	}
+	return request, true
+}
+
+func writeClaim(w http.ResponseWriter, answer claimAnswer) {
+	_ = json.NewEncoder(w).Encode(answer) // the peer sees a cut answer
+}
--- a/internal/transport/agent/system_test.go
+++ b/internal/transport/agent/system_test.go
@@ -59,6 +59,7 @@
 	store    *store.Client
 	public   setup.Certificate
 	roots    *x509.CertPool
+	peers    *tls.Config
 }
 
 // process is a balancer or an agent.
@@ -71,6 +72,12 @@
 }
 
 func newSystem(t *testing.T, upstreams ...http.Handler) *system {
+	t.Helper()
+	return newSystemWith(t, func(*config.Limits) {}, upstreams...)
+}
+
+func newSystemWith(t *testing.T, adjust func(*config.Limits), upstreams ...http.Handler) *system {
+	t.Helper()
 	s := &system{t: t, service: freeUDP(t)}
 	s.makeCertificate()
 	platform := httptest.NewServer(standin.New().Handler())
@@ -90,6 +97,7 @@
 		}},
 	}
 
+	adjust(&s.cfg.Services[0].Limits)
 	s.balancer = s.newProcess(roster.Member{Role: roster.Balancer, Name: "balancer", Domain: "d1", Admin: freeUDP(t)})
 	balancer := edge.New(edge.Options{
 		Log: quiet(), Metrics: s.balancer.metrics, Link: s.balancer.link, Keys: keys, IDs: connid.New(keys),
@@ -139,13 +147,16 @@
 }
 
 func (s *system) addAgent(address, upstream netip.AddrPort) *process {
+	peer := freeUDP(s.t)
 	p := s.newProcess(roster.Member{
-		Address: address, Role: roster.Agent, Name: "a", Domain: "d2", Service: "checklists", Weight: roster.MaxWeight,
+		Address: address, Role: roster.Agent, Name: "a", Domain: "d2", Service: "checklists", Weight: roster.MaxWeight, Admin: peer,
 	})
 	settings := &setup.Settings{Name: "a", Domain: "d2", Address: address, Agent: &setup.AgentSettings{
-		Service: "checklists", Upstream: upstream, Public: s.public, MaxBody: 1 << 20, Drain: setup.Duration(5 * time.Second),
+		Service: "checklists", Upstream: upstream, Peer: peer, Public: s.public, MaxBody: 1 << 20, Drain: setup.Duration(5 * time.Second),
 	}}
-	a := agent.New(settings, keys, connid.New(keys), p.link, quiet(), p.metrics)
+	a := agent.New(agent.Options{
+		Settings: settings, Keys: keys, IDs: connid.New(keys), Link: p.link, Peers: s.peers, Log: quiet(), Metrics: p.metrics,
+	})
 	s.run(p, func(ctx context.Context) { _ = a.Run(ctx) })
 	s.agents = append(s.agents, p)
 	return p
@@ -166,6 +177,19 @@
 	time.Sleep(100 * time.Millisecond) // the routing table follows the members
 }
 
+// waitForPeers waits until every agent knows all of them.
+func (s *system) waitForPeers(count int) {
+	s.t.Helper()
+	s.waitFor("peers", func() bool {
+		for _, p := range s.agents {
+			if len(p.link.Peers()) != count {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (s *system) waitFor(what string, holds func() bool) {
 	s.t.Helper()
 	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -238,6 +262,15 @@
 	s.write(s.public.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}))
 	s.roots = x509.NewCertPool()
 	s.roots.AppendCertsFromPEM(cert)
+
+	pair, err := tls.LoadX509KeyPair(s.public.CertFile, s.public.KeyFile)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.peers = &tls.Config{
+		Certificates: []tls.Certificate{pair}, RootCAs: s.roots, ClientCAs: s.roots,
+		ClientAuth: tls.RequireAndVerifyClientCert, ServerName: serverName,
+	}
 }
 
 func (s *system) write(path string, data []byte) {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -118,6 +118,13 @@
 	return l.node.Self()
 }
 
+// Peers returns the agents of the same service, this one among them. It must not be changed.
+func (l *Link) Peers() []roster.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Peers()
+}
+
 // Applied returns the revision in force at each member that reports to this process.
 func (l *Link) Applied() map[netip.AddrPort]uint64 {
 	l.mu.Lock()
--- a/internal/transport/metric/metric.go
+++ b/internal/transport/metric/metric.go
@@ -30,6 +30,9 @@
 	// Refusals counts refused requests by tenant, class and reason.
 	Refusals *prometheus.CounterVec
 
+	// Passed counts requests that a peer agent ran, by tenant and class.
+	Passed *prometheus.CounterVec
+
 	// Broken counts broken flows by cause.
 	Broken *prometheus.CounterVec
 
@@ -75,6 +78,7 @@
 	s.Size = s.histogram("answer_bytes", "Length of the answer's body.", size, "tenant", "class")
 	s.Requests = s.counter("requests_total", "Requests by outcome.", "tenant", "class", "outcome")
 	s.Refusals = s.counter("refusals_total", "Requests refused before they ran.", "tenant", "class", "reason")
+	s.Passed = s.counter("passed_requests_total", "Requests that a peer agent ran.", "tenant", "class")
 	s.Broken = s.counter("broken_flows_total", "Flows that ended before their answer.", "cause")
 	s.Datagrams = s.counter("datagrams_total", "Callers' datagrams by verdict.", "verdict")
 	s.Dropped = s.counter("dropped_datagrams_total", "Datagrams thrown away.", "reason")
