Cut what the membership costs a balancer each second

BenchmarkFleet (sealed datagrams with headers, sent and received): 31 KB/s for each of 30 balancers in what should be a quiet fleet. Causes: a balancer kept its own record at the first sequence, so its digest differed from all others for ever (TestQuietFleetRepairsNothing); each record was pushed up to 45 times by each balancer, where the logarithm of the fleet and a few is enough; and every heartbeat, twice a second, carried names the home already had. Heartbeats go once a second and are brief once the home knows the rest.

--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,7 +33,9 @@
 
 	sent map[member.Kind]int
 	size func(member.Message) int
-	out  int
+
+	// traffic is the bytes sent and received by each role, if size is set.
+	traffic map[roster.Role]int
 }
 
 type host struct {
@@ -43,7 +46,6 @@
 	down   bool
 	paused bool
 	inbox  []member.Message
-	out    int
 }
 
 type letter struct {
@@ -112,7 +114,7 @@
 	if h.role == roster.Balancer {
 		self.Admin = netip.AddrPortFrom(h.addr.Addr(), 7101)
 	} else {
-		self.Service = "checklists"
+		self.Service = fmt.Sprintf("s%d", slices.Index(f.nodes, h)/6)
 	}
 	h.down, h.paused, h.inbox = false, false, nil
 	h.node = member.New(self, rand.New(rand.NewPCG(f.random.Uint64(), 1)))
@@ -153,12 +155,12 @@
 func (f *fleet) post(from *host, sends []member.Send) {
 	for _, s := range sends {
 		f.sent[s.Message.Kind]++
-		if f.size != nil {
+		to := f.byAddr[s.To]
+		if f.size != nil && to != nil {
 			bytes := f.size(s.Message)
-			f.out += bytes
-			from.out += bytes
+			f.traffic[from.role] += bytes
+			f.traffic[to.role] += bytes
 		}
-		to := f.byAddr[s.To]
 		if to == nil || f.cut(from, to) {
 			continue
 		}
--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -21,7 +21,7 @@
 	case Ack:
 		n.onAck(now, m)
 	case Probe:
-		return []Send{{To: m.From.Address, Message: n.message(Heartbeat)}}, offer
+		return []Send{{To: m.From.Address, Message: n.heartbeat(m.From.Address)}}, offer
 	case Push:
 		n.onPush(now, m)
 	case Digest:
@@ -35,6 +35,10 @@
 		return nil
 	}
 
+	if m.Brief && !n.complete(&m.From) {
+		return []Send{{To: m.From.Address, Message: n.message(Ack)}}
+	}
+
 	known, ok := n.heard[m.From.Address]
 	if !ok || m.From.Sequence > known.sequence || m.Revision > known.revision || now.Sub(known.at) > SuspectAfter {
 		n.heard[m.From.Address] = contact{at: now, sequence: m.From.Sequence, revision: m.Revision}
@@ -44,6 +48,16 @@
 	return []Send{{To: m.From.Address, Message: n.ack(m)}}
 }
 
+// complete fills in what a brief heartbeat lacks, and reports whether it could.
+func (n *Node) complete(from *roster.Member) bool {
+	known, ok := n.roster.Get(from.Address)
+	if !ok || known.Incarnation != from.Incarnation {
+		return false
+	}
+	from.Name, from.Domain, from.Service, from.Admin = known.Name, known.Domain, known.Service, known.Admin
+	return true
+}
+
 // learn takes a record that came from the member itself. Only a change of
 // content spreads, so that heartbeats cost nothing beyond the home.
 func (n *Node) learn(now time.Time, from roster.Member) {
@@ -66,6 +80,10 @@
 
 func (n *Node) ack(beat Message) Message {
 	m := n.message(Ack)
+	m.Acquainted = true
+	if beat.Revision >= n.revision && beat.From.Role == roster.Agent {
+		m.shorten() // only a newer configuration makes the admin address of use
+	}
 	m.Homes = addresses(roster.HomesOf(beat.From.Address, n.ring))
 	if beat.From.Role != roster.Agent {
 		return m
@@ -84,6 +102,7 @@
 
 func (n *Node) onAck(now time.Time, m Message) {
 	n.lastAck = now
+	n.acquainted[m.From.Address] = m.Acquainted
 	if n.self.Role != roster.Balancer {
 		if len(m.Homes) > 0 {
 			n.homes = m.Homes
@@ -93,7 +112,9 @@
 		}
 		return
 	}
-	n.learn(now, m.From)
+	if !m.Brief {
+		n.learn(now, m.From)
+	}
 }
 
 func (n *Node) onPush(now time.Time, m Message) {
@@ -104,7 +125,7 @@
 	n.learn(now, m.From)
 	for _, member := range m.Members {
 		if member.Address == n.self.Address {
-			n.refute(member)
+			n.refute(now, member)
 			continue
 		}
 		if n.outlived(member) {
@@ -137,8 +158,12 @@
 }
 
 // refute answers a record about this node that is not its own.
-func (n *Node) refute(claim roster.Member) {
-	if claim.Incarnation != n.self.Incarnation || claim.Same(&n.self) {
+func (n *Node) refute(now time.Time, claim roster.Member) {
+	if claim.Same(&n.self) {
+		n.roster.Merge(claim, now) // or its digest would differ from all others for ever
+		return
+	}
+	if claim.Incarnation != n.self.Incarnation {
 		return
 	}
 	n.self.Sequence = max(n.self.Sequence, claim.Sequence)
--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -50,10 +50,23 @@
 	// PeersHash is the hash of the peers that the sender of a heartbeat has.
 	PeersHash uint64 `cbor:"9,keyasint,omitempty"`
 
+	// Brief says that From lacks what the receiver has of it already: name,
+	// domain, service and admin address.
+	Brief bool `cbor:"10,keyasint,omitempty"`
+
+	// Acquainted says in an acknowledgement that the next heartbeat may be brief.
+	Acquainted bool `cbor:"11,keyasint,omitempty"`
+
 	// Reply says that a digest answers another one, so that it is not answered again.
 	Reply bool `cbor:"7,keyasint,omitempty"`
 }
 
+func (m *Message) shorten() {
+	m.Brief = true
+	m.From.Name, m.From.Domain, m.From.Service = "", "", ""
+	m.From.Admin = netip.AddrPort{}
+}
+
 // Send is a message to be sent.
 type Send struct {
 	To      netip.AddrPort
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -15,7 +15,7 @@
 
 const (
 	// HeartbeatEvery is the time between two heartbeats.
-	HeartbeatEvery = 500 * time.Millisecond
+	HeartbeatEvery = time.Second
 
 	// SuspectAfter is how long a member may be silent before it is probed.
 	SuspectAfter = 1500 * time.Millisecond
@@ -52,11 +52,11 @@
 	pauseGap   = time.Second // a longer gap between ticks means that this process was paused
 	ackLost    = 2 * time.Second
 
-	fanout       = 3
-	maxMembers   = 10 // fits a datagram of 1,200 bytes
-	maxPeers     = 16 // agents of one service that know each other; fits the same datagram
-	maxRepair    = 30 // messages that answer one digest
-	spreadFactor = 3
+	fanout      = 3
+	extraSpread = 3  // sends of a record beyond the logarithm of the fleet
+	maxMembers  = 10 // fits a datagram of 1,200 bytes
+	maxPeers    = 16 // agents of one service that know each other; fits the same datagram
+	maxRepair   = 30 // messages that answer one digest
 )
 
 // Node is one process's part in the membership. It is not safe for concurrent use.
@@ -68,6 +68,7 @@
 	revision uint64
 
 	homes      []netip.AddrPort
+	acquainted map[netip.AddrPort]bool // homes that have this node's whole record
 	peerAgents []roster.Member
 	lastAck    time.Time
 
@@ -93,12 +94,13 @@
 func New(self roster.Member, random *rand.Rand) *Node {
 	self.State = roster.Alive
 	n := &Node{
-		self:    self,
-		random:  random,
-		roster:  roster.New(),
-		heard:   map[netip.AddrPort]contact{},
-		rumours: map[netip.AddrPort]int{},
-		watched: map[netip.AddrPort]time.Time{},
+		self:       self,
+		random:     random,
+		roster:     roster.New(),
+		acquainted: map[netip.AddrPort]bool{},
+		heard:      map[netip.AddrPort]contact{},
+		rumours:    map[netip.AddrPort]int{},
+		watched:    map[netip.AddrPort]time.Time{},
 	}
 	if self.Role == roster.Balancer {
 		n.roster.Merge(self, time.Time{})
@@ -245,15 +247,22 @@
 		targets = append(slices.Clone(n.homes), n.seeds...)
 	}
 
-	beat := n.message(Heartbeat)
-	beat.PeersHash = roster.HashOf(n.peerAgents)
 	var sends []Send
 	for _, to := range targets {
-		sends = append(sends, Send{To: to, Message: beat})
+		sends = append(sends, Send{To: to, Message: n.heartbeat(to)})
 	}
 	return sends
 }
 
+func (n *Node) heartbeat(to netip.AddrPort) Message {
+	m := n.message(Heartbeat)
+	m.PeersHash = roster.HashOf(n.peerAgents)
+	if n.acquainted[to] {
+		m.shorten()
+	}
+	return m
+}
+
 // beatsSinceStart keeps the sequence in step with time, also after a pause, so
 // that others can tell old news from new.
 func (n *Node) beatsSinceStart(now time.Time) uint64 {
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -154,6 +154,16 @@
 	f.mustAgree(0)
 }
 
+func TestQuietFleetRepairsNothing(t *testing.T) {
+	f := settled(t, 11, 12, 60)
+	f.run(time.Minute)
+	f.sent = map[member.Kind]int{}
+	f.run(time.Minute)
+	if pushes := f.sent[member.Push]; pushes > 0 {
+		t.Errorf("%d pushes in a fleet where nothing changes", pushes)
+	}
+}
+
 func TestLeavingSpreadsWithinSeconds(t *testing.T) {
 	f := settled(t, 9, 6, 30)
 	h := f.nodes[15]
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -93,7 +93,8 @@
 
 // spread queues a record to be pushed a number of times that grows with the logarithm of the fleet.
 func (n *Node) spread(address netip.AddrPort) {
-	n.rumours[address] = spreadFactor * bits.Len(uint(len(n.ring)+1))
+	sends := bits.Len(uint(len(n.ring)+1)) + extraSpread
+	n.rumours[address] = (sends + fanout - 1) / fanout
 }
 
 func (n *Node) push(now time.Time) []Send {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -58,7 +58,10 @@
 
 	// Domain is the failure domain that the flow is known to end in; empty if no answer told it.
 	Domain string
-	Took   time.Duration
+
+	// Began is when the request began, from the crowd's start.
+	Began time.Duration
+	Took  time.Duration
 }
 
 // Options say how many users come and what they ask for.
@@ -80,6 +83,7 @@
 type Crowd struct {
 	options Options
 	prefix  string
+	started time.Time
 	next    atomic.Uint64
 
 	mu      sync.Mutex
@@ -88,7 +92,7 @@
 
 // New returns a Crowd that has not come yet.
 func New(o Options) *Crowd {
-	return &Crowd{options: o, prefix: fmt.Sprintf("%x", rand.Uint64())}
+	return &Crowd{options: o, started: time.Now(), prefix: fmt.Sprintf("%x", rand.Uint64())}
 }
 
 // Run lets users come until the context ends, and returns once the last has left.
@@ -146,7 +150,7 @@
 	id := fmt.Sprintf("%s-%d", c.prefix, c.next.Add(1))
 	request, want := c.newRequest(ctx, service, id, random)
 	started := time.Now()
-	result := Result{ID: id}
+	result := Result{ID: id, Began: started.Sub(c.started)}
 	result.Verdict, result.Detail, result.Domain = perform(transport, request, service, want)
 	result.Took = time.Since(started)
 	return result
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -8,6 +8,8 @@
 	"github.com/coriandershift/coriandershift/internal/standin/upstrm"
 )
 
+const mostLost = 20 // broken requests listed one by one
+
 // Report is what the users and the upstreams saw, taken together.
 type Report struct {
 	Requests  int
@@ -28,6 +30,9 @@
 	// Imbalance is the largest ratio, over the services, of the most requests of one upstream to the mean.
 	Imbalance float64
 
+	// Lost are the broken requests.
+	Lost []Result
+
 	// Details counts the kinds of failures.
 	Details map[string]int
 }
@@ -75,6 +80,10 @@
 		lines = append(lines, fmt.Sprintf("%6d %s", count, detail))
 	}
 	slices.Sort(lines)
+	for _, l := range r.Lost[:min(len(r.Lost), mostLost)] {
+		lines = append(lines, fmt.Sprintf("broken id=%s began=%.1fs took=%.1fs domain=%q: %s",
+			l.ID, l.Began.Seconds(), l.Took.Seconds(), l.Domain, l.Detail))
+	}
 	return lines
 }
 
@@ -92,6 +101,7 @@
 			r.GivenUp++
 		} else {
 			r.Broken++
+			r.Lost = append(r.Lost, result)
 		}
 	}
 	detail, _, _ := strings.Cut(result.Detail, "\n")
