Spread configuration by deltas and change the routing table in place

A node with a newer configuration was asked for the whole of it, and each change of a member made the routing table anew.

--- a/internal/coordination/commit/commit.go
+++ b/internal/coordination/commit/commit.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -35,9 +36,13 @@
 	ErrUndecided = errors.New("outcome of the change is unknown; send it again with the same ID")
 )
 
-// Committer changes and reads the configuration.
+// Committer changes and reads the configuration. It is safe for concurrent use.
 type Committer struct {
 	store coriandershift.Store
+
+	mu sync.Mutex
+	// parts are those of the last root that was read, by their hash.
+	parts map[string]config.Part
 }
 
 type root struct {
@@ -179,12 +184,13 @@
 
 	parts := make([]config.Part, 0, len(r.Parts))
 	for _, name := range r.Parts {
-		part, err := c.store.Get(ctx, partPrefix+name.Hash)
+		part, err := c.part(ctx, name)
 		if err != nil {
 			return Snapshot{}, errors.WithMessagef(err, "part %q", name.Name)
 		}
-		parts = append(parts, config.Part{Name: name.Name, Hash: name.Hash, Data: part.Value})
+		parts = append(parts, part)
 	}
+	c.keep(parts)
 
 	cfg, err := config.Join(r.Revision, parts)
 	if err != nil {
@@ -193,6 +199,32 @@
 	return Snapshot{Config: cfg, StoreRevision: entry.Revision, changes: r.Changes, parts: r.Parts}, nil
 }
 
+// part reads one part, unless it was among those of the last root.
+func (c *Committer) part(ctx context.Context, name partName) (config.Part, error) {
+	c.mu.Lock()
+	known, ok := c.parts[name.Hash]
+	c.mu.Unlock()
+	if ok {
+		return config.Part{Name: name.Name, Hash: name.Hash, Data: known.Data}, nil
+	}
+
+	entry, err := c.store.Get(ctx, partPrefix+name.Hash)
+	if err != nil {
+		return config.Part{}, err
+	}
+	return config.Part{Name: name.Name, Hash: name.Hash, Data: entry.Value}, nil
+}
+
+func (c *Committer) keep(parts []config.Part) {
+	kept := make(map[string]config.Part, len(parts))
+	for _, p := range parts {
+		kept[p.Hash] = p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parts = kept
+}
+
 func newRoot(revision uint64, parts []config.Part, changes []doneChange, id string) root {
 	r := root{Revision: revision, Changes: append(slices.Clone(changes), doneChange{ID: id, Revision: revision})}
 	if extra := len(r.Changes) - rememberedChanges; extra > 0 {
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -61,11 +61,13 @@
 
 // Node is one process's part in the membership. It is not safe for concurrent use.
 type Node struct {
-	self     roster.Member
-	random   *rand.Rand
-	roster   *roster.Roster
-	seeds    []netip.AddrPort
-	revision uint64
+	self   roster.Member
+	random *rand.Rand
+	roster *roster.Roster
+	seeds  []netip.AddrPort
+
+	revision      uint64
+	revisionSends int // pushes that are still to tell of the revision
 
 	homes      []netip.AddrPort
 	acquainted map[netip.AddrPort]bool // homes that have this node's whole record
@@ -119,16 +121,34 @@
 func (n *Node) Members() []roster.Member {
 	members := n.roster.Members()
 	for i := range members {
-		switch n.roster.Doubt(members[i].Address) {
-		case roster.Unconfirmed:
-			members[i].State = roster.Leaving
-		case roster.Stale:
-			members[i].State = roster.Alive
+		n.doubt(&members[i])
+	}
+	return members
+}
+
+// TakeChanged returns the members that changed since the last call, as Members shows them.
+func (n *Node) TakeChanged() []roster.Member {
+	var members []roster.Member
+	for _, address := range n.roster.TakeChanged() {
+		m, ok := n.roster.Get(address)
+		if !ok {
+			continue
 		}
+		n.doubt(&m)
+		members = append(members, m)
 	}
 	return members
 }
 
+func (n *Node) doubt(m *roster.Member) {
+	switch n.roster.Doubt(m.Address) {
+	case roster.Unconfirmed:
+		m.State = roster.Leaving
+	case roster.Stale:
+		m.State = roster.Alive
+	}
+}
+
 // Self returns the node's own record.
 func (n *Node) Self() roster.Member {
 	return n.self
@@ -144,9 +164,11 @@
 	n.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == n.self.Address })
 }
 
-// SetRevision tells which configuration is in force here.
+// SetRevision tells which configuration is in force here. It is spread like a record.
 func (n *Node) SetRevision(revision uint64) {
 	n.revision = revision
+	n.revisionSends = n.sendsOfRecord()
+	n.lastBeat = time.Time{}
 }
 
 // SetWeight changes the share of new flows that the node asks for.
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -93,15 +93,21 @@
 
 // spread queues a record to be pushed a number of times that grows with the logarithm of the fleet.
 func (n *Node) spread(address netip.AddrPort) {
+	n.rumours[address] = n.sendsOfRecord()
+}
+
+// sendsOfRecord returns in how many pushes news goes out.
+func (n *Node) sendsOfRecord() int {
 	sends := bits.Len(uint(len(n.ring)+1)) + extraSpread
-	n.rumours[address] = (sends + fanout - 1) / fanout
+	return (sends + fanout - 1) / fanout
 }
 
 func (n *Node) push(now time.Time) []Send {
-	if len(n.rumours) == 0 || now.Sub(n.lastPush) < pushEvery {
+	if len(n.rumours)+n.revisionSends == 0 || now.Sub(n.lastPush) < pushEvery {
 		return nil
 	}
 	n.lastPush = now
+	n.revisionSends = max(0, n.revisionSends-1)
 
 	message := n.message(Push)
 	for address, left := range n.rumours {
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -68,7 +68,7 @@
 	First bool
 }
 
-// Router decides where datagrams go. Decide is safe for concurrent use with Update.
+// Router decides where datagrams go. Decide is safe for concurrent use with all methods.
 type Router struct {
 	ids    *connid.Codec
 	k0, k1 uint64
@@ -88,6 +88,15 @@
 	r.table.Store(newTable(cfg, members))
 }
 
+// Change takes the new records of some members into use, at the cost of their
+// services alone. It must not run at the same time as Update or Change.
+func (r *Router) Change(members []roster.Member) {
+	t := r.table.Load()
+	for i := range members {
+		t.change(&members[i])
+	}
+}
+
 // Decide returns the verdict on one datagram. It does not allocate.
 func (r *Router) Decide(p Packet) Decision {
 	t := r.table.Load()
@@ -117,7 +126,7 @@
 	if !known {
 		return 0
 	}
-	return len(s.candidates)
+	return len(*s.candidates.Load())
 }
 
 func decideEstablished(t *table, p Packet, target connid.Target) Decision {
@@ -127,7 +136,7 @@
 	if t.out[target.Domain] {
 		return Decision{Verdict: Reset, Reason: DomainOut}
 	}
-	if t.agents[target.Agent].dead {
+	if (*t.dead.Load())[target.Agent] {
 		return Decision{Verdict: Reset, Reason: AgentDead}
 	}
 
@@ -143,8 +152,9 @@
 	d := Decision{Verdict: Opening}
 	hash := siphash.Hash(r.k0, r.k1, id)
 
-	for i := range s.candidates {
-		c := &s.candidates[i]
+	candidates := *s.candidates.Load()
+	for i := range candidates {
+		c := &candidates[i]
 		d.insert(&scores, c.address, score(hash, c))
 	}
 
--- a/internal/coordination/route/router_test.go
+++ b/internal/coordination/route/router_test.go
@@ -9,6 +9,8 @@
 	"slices"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"github.com/coriandershift/coriandershift/internal/coordination/route"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/connid"
@@ -117,6 +119,29 @@
 	}
 }
 
+func TestChangesLeadToTheSameTableAsUpdates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg, members := deployment(3, 24)
+		stepwise, ids := newRouter(cfg, members)
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			m := &members[rapid.IntRange(0, len(members)-1).Draw(t, "member")]
+			m.State = rapid.SampledFrom([]roster.State{roster.Alive, roster.Leaving, roster.Dead}).Draw(t, "state")
+			m.Weight = uint8(rapid.IntRange(0, roster.MaxWeight).Draw(t, "weight"))
+			stepwise.Change([]roster.Member{*m})
+		}
+
+		atOnce, _ := newRouter(cfg, members)
+		for i := range 50 {
+			first := route.Packet{Destination: firstID(i), Service: uint32(i%3 + 1), First: true}
+			id := ids.Seal(connid.Target{Domain: 1, Service: uint32(i%3 + 1), Agent: agentAddress(i % 24)}, 1)
+			established := route.Packet{Destination: id[:], Service: uint32(i%3 + 1)}
+			if stepwise.Decide(first) != atOnce.Decide(first) || stepwise.Decide(established) != atOnce.Decide(established) {
+				t.Fatal("tables differ")
+			}
+		}
+	})
+}
+
 func TestUnknownIDsAreDropped(t *testing.T) {
 	cfg, members := deployment(1, 2)
 	r, ids := newRouter(cfg, members)
@@ -211,6 +236,11 @@
 				r.Decide(route.Packet{Destination: id, Service: 1, First: true})
 			}
 		})
+		b.Run("change/"+name, func(b *testing.B) {
+			for b.Loop() {
+				r.Change(members[:1])
+			}
+		})
 		b.Run("update/"+name, func(b *testing.B) {
 			for b.Loop() {
 				r.Update(cfg, members)
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -4,21 +4,30 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"net/netip"
+	"slices"
+	"sync/atomic"
 
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
-// table is one immutable view of the services and agents.
+// table is one configuration with the agents that stand under it. The maps do
+// not change; what a change of an agent touches is replaced as a whole.
 type table struct {
 	services map[uint32]*service
-	agents   map[netip.AddrPort]agentState
+	byName   map[string]*service
 	out      [256]bool
+	outNames map[string]bool
+	drained  map[string]bool
+
+	// dead are the agents whose flows are given up.
+	dead atomic.Pointer[map[netip.AddrPort]bool]
 }
 
 type service struct {
-	candidates []candidate
+	candidates atomic.Pointer[[]candidate]
 }
 
 type candidate struct {
@@ -27,47 +36,86 @@
 	weight  float64
 }
 
-type agentState struct {
-	dead bool
-}
-
 func newTable(cfg *config.Config, members []roster.Member) *table {
 	t := &table{
 		services: make(map[uint32]*service, len(cfg.Services)),
-		agents:   make(map[netip.AddrPort]agentState, len(members)),
+		byName:   make(map[string]*service, len(cfg.Services)),
+		outNames: map[string]bool{},
+		drained:  map[string]bool{},
 	}
-
-	outNames := map[string]bool{}
 	for _, d := range cfg.Domains {
 		t.out[d.Number] = d.Out
-		outNames[d.Name] = d.Out
+		t.outNames[d.Name] = d.Out
+	}
+	for _, name := range cfg.Drained {
+		t.drained[name] = true
 	}
-
-	byName := make(map[string]*service, len(cfg.Services))
 	for i := range cfg.Services {
 		s := &service{}
 		t.services[cfg.Services[i].Number] = s
-		byName[cfg.Services[i].Name] = s
+		t.byName[cfg.Services[i].Name] = s
 	}
 
-	drained := map[string]bool{}
-	for _, name := range cfg.Drained {
-		drained[name] = true
-	}
+	t.fill(members)
+	return t
+}
 
+// fill puts all members into a table that nobody reads yet.
+func (t *table) fill(members []roster.Member) {
+	lists := make(map[*service][]candidate, len(t.services))
+	dead := map[netip.AddrPort]bool{}
 	for i := range members {
 		m := &members[i]
 		if m.Role != roster.Agent {
 			continue
 		}
-		t.agents[m.Address] = agentState{dead: m.State == roster.Dead}
-		s, known := byName[m.Service]
-		if !known || m.State != roster.Alive || m.Weight == 0 || outNames[m.Domain] || drained[m.Name] {
-			continue
+		if m.State == roster.Dead {
+			dead[m.Address] = true
+		}
+		if s := t.byName[m.Service]; s != nil && t.eligible(m) {
+			lists[s] = append(lists[s], newCandidate(m))
 		}
-		s.candidates = append(s.candidates, newCandidate(m))
 	}
-	return t
+
+	t.dead.Store(&dead)
+	for _, s := range t.services {
+		list := lists[s]
+		s.candidates.Store(&list)
+	}
+}
+
+// change takes over the new record of one agent.
+func (t *table) change(m *roster.Member) {
+	if m.Role != roster.Agent {
+		return
+	}
+
+	dead := *t.dead.Load()
+	if dead[m.Address] != (m.State == roster.Dead) {
+		dead = maps.Clone(dead)
+		delete(dead, m.Address)
+		if m.State == roster.Dead {
+			dead[m.Address] = true
+		}
+		t.dead.Store(&dead)
+	}
+
+	if s := t.byName[m.Service]; s != nil {
+		s.replace(m, t.eligible(m))
+	}
+}
+
+func (t *table) eligible(m *roster.Member) bool {
+	return m.State == roster.Alive && m.Weight > 0 && !t.outNames[m.Domain] && !t.drained[m.Name]
+}
+
+func (s *service) replace(m *roster.Member, eligible bool) {
+	list := slices.Clone(*s.candidates.Load())
+	list = slices.DeleteFunc(list, func(c candidate) bool { return c.address == m.Address })
+	if eligible {
+		list = append(list, newCandidate(m))
+	}
+	s.candidates.Store(&list)
 }
 
 func newCandidate(m *roster.Member) candidate {
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -3,7 +3,6 @@
 package config
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -120,18 +119,16 @@
 	return c.Services[i], true
 }
 
-// Clone returns a deep copy.
+// Clone returns a copy whose domains, services and drained upstreams can be
+// replaced, added and removed. What lies within a service must not be changed
+// in place, since both share it.
 func (c *Config) Clone() *Config {
-	data, err := json.Marshal(c)
-	if err != nil {
-		panic(err) // plain data always marshals
+	return &Config{
+		Revision: c.Revision,
+		Domains:  slices.Clone(c.Domains),
+		Services: slices.Clone(c.Services),
+		Drained:  slices.Clone(c.Drained),
 	}
-
-	clone := &Config{}
-	if err := json.Unmarshal(data, clone); err != nil {
-		panic(err)
-	}
-	return clone
 }
 
 // Classify returns the class of a request: the one with the longest matching
--- /dev/null
+++ b/internal/state/config/delta_test.go
@@ -0,0 +1,83 @@
+package config_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/coriandershift/coriandershift/internal/state/config"
+)
+
+func drawOperation(t *rapid.T) config.Operation {
+	i := rapid.IntRange(1, 6).Draw(t, "which")
+	name := fmt.Sprint("s", i)
+	switch rapid.IntRange(0, 4).Draw(t, "operation") {
+	case 0:
+		return config.Operation{Verb: config.RemoveService, Name: name}
+	case 1:
+		return config.Operation{Verb: config.SetLimit, Name: name, Limit: "queue", Value: int64(rapid.IntRange(0, 99).Draw(t, "queue"))}
+	case 2:
+		return config.Operation{Verb: config.Drain, Name: fmt.Sprint("u", i)}
+	case 3:
+		return config.Operation{Verb: config.PutDomain, Domain: &config.Domain{Name: fmt.Sprint("d", i), Number: uint8(i)}}
+	}
+	return config.Operation{Verb: config.PutService, Service: &config.Service{
+		Name: name, Tenant: "t", Number: uint32(i), Addresses: []string{fmt.Sprintf("192.0.2.%d:443", i)},
+		Limits:  config.Limits{Slots: rapid.IntRange(1, 9).Draw(t, "slots"), ColdSlots: 1, Connections: 1},
+		Classes: []config.Class{{Name: "c", PathPrefix: "/", Timeout: 1}},
+	}}
+}
+
+// TestDeltasLeadToTheSameConfiguration follows random changes by deltas, singly and joined.
+func TestDeltasLeadToTheSameConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history config.History
+		known := []*config.Config{{}}
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			last := known[len(known)-1]
+			next, err := last.Apply(config.Change{Force: true, Operations: []config.Operation{drawOperation(t)}})
+			if err != nil {
+				continue
+			}
+			history.Add(config.Diff(last, next))
+			known = append(known, next)
+		}
+
+		last := known[len(known)-1]
+		start := known[rapid.IntRange(0, len(known)-1).Draw(t, "start")]
+		delta, ok := history.Since(start.Revision)
+		if ok == (start == last) {
+			t.Fatalf("delta from revision %d to %d known: %t", start.Revision, last.Revision, ok)
+		}
+		if !ok {
+			return
+		}
+		got, err := start.Patch(delta)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(last, got, cmpopts.EquateEmpty()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func TestPatchRefusesAGap(t *testing.T) {
+	cfg := &config.Config{Revision: 5}
+	tests := map[string]config.Delta{
+		"later start": {From: 6, To: 7},
+		"old delta":   {From: 3, To: 4},
+		"backwards":   {From: 5, To: 5},
+	}
+	for name, delta := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, err := cfg.Patch(delta); !errors.Is(err, config.ErrGap) {
+				t.Errorf("got %v, want ErrGap", err)
+			}
+		})
+	}
+}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -107,6 +107,9 @@
 	doubtful  map[netip.AddrPort]doubt
 	digest    [Buckets]uint64
 	services  map[string]map[netip.AddrPort]bool
+
+	// changed are the addresses of records that changed since TakeChanged.
+	changed map[netip.AddrPort]bool
 }
 
 type entry struct {
@@ -134,7 +137,12 @@
 
 // New returns an empty Roster.
 func New() *Roster {
-	return &Roster{members: map[netip.AddrPort]*entry{}, doubtful: map[netip.AddrPort]doubt{}, services: map[string]map[netip.AddrPort]bool{}}
+	return &Roster{
+		members:  map[netip.AddrPort]*entry{},
+		doubtful: map[netip.AddrPort]doubt{},
+		services: map[string]map[netip.AddrPort]bool{},
+		changed:  map[netip.AddrPort]bool{},
+	}
 }
 
 // Merge takes a member if it is newer than what is known, and reports whether
@@ -151,7 +159,7 @@
 	e := &entry{member: m, learned: now}
 	delete(r.doubtful, m.Address)
 	r.members[m.Address] = e
-	r.version++
+	r.note(m.Address)
 	if ok {
 		r.digest[bucket(m.Address)] ^= known.member.hash()
 	}
@@ -177,6 +185,17 @@
 	return r.version
 }
 
+// TakeChanged returns the addresses of the records that changed since the last
+// call. Those of forgotten members are not among them: they were dead before.
+func (r *Roster) TakeChanged() []netip.AddrPort {
+	changed := make([]netip.AddrPort, 0, len(r.changed))
+	for address := range r.changed {
+		changed = append(changed, address)
+	}
+	clear(r.changed)
+	return changed
+}
+
 // BalancerVersion grows whenever the set of balancers changes.
 func (r *Roster) BalancerVersion() uint64 {
 	return r.balancers
@@ -230,6 +249,7 @@
 // Suspend puts the death of a member in doubt until a time.
 func (r *Roster) Suspend(address netip.AddrPort, kind Doubt, until time.Time) {
 	r.doubtful[address] = doubt{kind: kind, until: until}
+	r.note(address)
 }
 
 // Confirm ends the doubts whose time is over.
@@ -239,7 +259,7 @@
 			continue
 		}
 		delete(r.doubtful, address)
-		r.version++
+		r.note(address)
 	}
 }
 
@@ -289,6 +309,11 @@
 	return members
 }
 
+func (r *Roster) note(address netip.AddrPort) {
+	r.version++
+	r.changed[address] = true
+}
+
 func (r *Roster) index(m Member) {
 	if m.Role != Agent {
 		return
--- a/internal/transport/admin/client.go
+++ b/internal/transport/admin/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,11 +55,29 @@
 
 // Config returns the configuration in force at a balancer.
 func (c *Client) Config(ctx context.Context, admin netip.AddrPort) (*config.Config, error) {
-	cfg := &config.Config{}
-	if err := c.get(ctx, admin, pathConfig, cfg); err != nil {
+	var u update
+	if err := c.get(ctx, admin, pathConfig, &u); err != nil {
 		return nil, err
 	}
-	return cfg, cfg.Validate()
+	if u.Whole == nil {
+		return nil, errors.WithMessagef(ErrFailed, "%s sent no configuration", admin)
+	}
+	return u.Whole, u.Whole.Validate()
+}
+
+// Newer returns the configuration in force at a balancer, given one that is known.
+func (c *Client) Newer(ctx context.Context, admin netip.AddrPort, known *config.Config) (*config.Config, error) {
+	var u update
+	if err := c.get(ctx, admin, pathConfig+"?after="+strconv.FormatUint(known.Revision, 10), &u); err != nil {
+		return nil, err
+	}
+	switch {
+	case u.Delta != nil:
+		return known.Patch(*u.Delta)
+	case u.Whole != nil:
+		return u.Whole, u.Whole.Validate()
+	}
+	return nil, errors.WithMessagef(ErrFailed, "%s sent no configuration", admin)
 }
 
 // Change has a balancer commit a change. It returns the revision in which it
--- a/internal/transport/admin/server.go
+++ b/internal/transport/admin/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -49,6 +50,12 @@
 	Revision uint64         `json:"revision,omitempty"`
 }
 
+// update is a configuration, or what leads to it.
+type update struct {
+	Whole *config.Config `json:"whole,omitempty"`
+	Delta *config.Delta  `json:"delta,omitempty"`
+}
+
 // problem is the body of a refused call.
 type problem struct {
 	Error string `json:"error"`
@@ -129,8 +136,17 @@
 	return mux
 }
 
-func (s *Server) getConfig(w http.ResponseWriter, _ *http.Request) {
-	answer(w, http.StatusOK, s.link.Config())
+// getConfig answers with the delta from the revision that the caller has, if it
+// is known, or else with the whole configuration.
+func (s *Server) getConfig(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err == nil {
+		if delta, known := s.link.Since(after); known {
+			answer(w, http.StatusOK, update{Delta: &delta})
+			return
+		}
+	}
+	answer(w, http.StatusOK, update{Whole: s.link.Config()})
 }
 
 func (s *Server) postChange(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/edge/edge.go
+++ b/internal/transport/edge/edge.go
@@ -31,6 +31,10 @@
 	link    *link.Link
 	router  *route.Router
 	relay   *relay.Relay
+
+	// revision and alive are those of the last apply.
+	revision uint64
+	alive    map[netip.AddrPort]bool
 }
 
 // Options are what a Balancer needs.
@@ -53,6 +57,7 @@
 		metrics: o.Metrics,
 		link:    o.Link,
 		router:  router,
+		alive:   map[netip.AddrPort]bool{},
 		relay: relay.New(relay.Options{
 			Log:      o.Log,
 			Metrics:  o.Metrics,
@@ -98,9 +103,14 @@
 // whether all service addresses are open.
 func (b *Balancer) apply(healthy func(bool)) bool {
 	cfg := b.link.Config()
-	members := b.link.Members()
-	b.router.Update(cfg, members)
-	b.metrics.Members.Set(float64(countAlive(members)))
+	changed := b.link.TakeChanged()
+	b.count(changed)
+	if cfg.Revision != b.revision {
+		b.revision = cfg.Revision
+		b.router.Update(cfg, b.link.Members())
+	} else {
+		b.router.Change(changed)
+	}
 
 	err := b.relay.Update(cfg)
 	if err != nil {
@@ -110,12 +120,14 @@
 	return err == nil
 }
 
-func countAlive(members []roster.Member) int {
-	alive := 0
-	for i := range members {
-		if members[i].State != roster.Dead {
-			alive++
+// count keeps the number of members that are not dead.
+func (b *Balancer) count(changed []roster.Member) {
+	for i := range changed {
+		if changed[i].State == roster.Dead {
+			delete(b.alive, changed[i].Address)
+			continue
 		}
+		b.alive[changed[i].Address] = true
 	}
-	return alive
+	b.metrics.Members.Set(float64(len(b.alive)))
 }
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift"
-	"github.com/coriandershift/coriandershift/internal/coordination/commit"
 	"github.com/coriandershift/coriandershift/internal/coordination/member"
 	"github.com/coriandershift/coriandershift/internal/protocol/gossip"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -32,8 +31,8 @@
 
 // Fetcher gets a configuration from a peer.
 type Fetcher interface {
-	// Config returns the peer's configuration.
-	Config(ctx context.Context, admin netip.AddrPort) (*config.Config, error)
+	// Newer returns the peer's configuration, given one that is known.
+	Newer(ctx context.Context, admin netip.AddrPort, known *config.Config) (*config.Config, error)
 }
 
 // Link is one process's connection to the others. It is safe for concurrent use.
@@ -48,6 +47,7 @@
 	mu       sync.Mutex
 	node     *member.Node
 	cfg      *config.Config
+	history  config.History
 	fetching bool
 	changed  chan struct{}
 	version  uint64
@@ -104,6 +104,13 @@
 	return l.cfg
 }
 
+// Since returns the delta from a revision to the configuration in force, and whether it is known.
+func (l *Link) Since(revision uint64) (config.Delta, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.history.Since(revision)
+}
+
 // Members returns all known members.
 func (l *Link) Members() []roster.Member {
 	l.mu.Lock()
@@ -111,6 +118,13 @@
 	return l.node.Members()
 }
 
+// TakeChanged returns the members that changed since the last call.
+func (l *Link) TakeChanged() []roster.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.TakeChanged()
+}
+
 // Self returns the process's own record.
 func (l *Link) Self() roster.Member {
 	l.mu.Lock()
@@ -200,6 +214,7 @@
 		return false
 	}
 
+	l.history.Add(config.Diff(l.cfg, cfg))
 	l.cfg = cfg
 	l.node.SetRevision(cfg.Revision)
 	l.metrics.Revision.Set(float64(cfg.Revision))
@@ -208,24 +223,6 @@
 	return true
 }
 
-// Watch follows the root key of the store until the context ends.
-func (l *Link) Watch(ctx context.Context) {
-	committer := commit.New(l.store)
-	for ctx.Err() == nil {
-		snapshot, err := committer.Load(ctx)
-		if err != nil {
-			l.log.Warn("cannot read configuration", "error", err)
-			sleep(ctx, retryStore)
-			continue
-		}
-
-		l.Adopt(snapshot.Config, "store")
-		if _, err := l.store.Watch(ctx, commit.RootKey, snapshot.StoreRevision); err != nil {
-			sleep(ctx, retryStore)
-		}
-	}
-}
-
 func (l *Link) tick() {
 	l.mu.Lock()
 	sends := l.node.Tick(time.Now())
@@ -277,7 +274,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
 
-		cfg, err := l.fetcher.Config(ctx, offer.Admin)
+		cfg, err := l.fetcher.Newer(ctx, offer.Admin, l.Config())
 		if err != nil {
 			l.log.Warn("cannot fetch configuration", "peer", offer.Admin, "error", err)
 		} else {
--- /dev/null
+++ b/internal/transport/link/place.go
@@ -0,0 +1,82 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift"
+)
+
+const (
+	placeLease = 15 * time.Second
+	placeRenew = 5 * time.Second
+	placeRetry = 15 * time.Second
+)
+
+// holdPlace takes one of a bounded number of places of the failure domain and
+// runs a function while its lease holds, again and again until the context
+// ends. A holder that is paused past its lease may run beside its successor for
+// a moment, so the function must do no harm twice.
+func (l *Link) holdPlace(ctx context.Context, prefix string, places int, run func(held context.Context)) {
+	for ctx.Err() == nil {
+		lease, err := l.claimPlace(ctx, prefix+l.Self().Domain+"/", places)
+		if err != nil {
+			sleep(ctx, placeRetry)
+			continue
+		}
+
+		held, lost := context.WithCancel(ctx)
+		go func() {
+			defer lost()
+			l.renewPlace(held, lease)
+		}()
+		run(held)
+		lost()
+	}
+}
+
+// claimPlace takes the first free place. It returns coriandershift.ErrConflict if all are taken.
+func (l *Link) claimPlace(ctx context.Context, prefix string, places int) (coriandershift.Lease, error) {
+	entries, err := l.store.List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+
+	taken := map[string]bool{}
+	for _, e := range entries {
+		taken[strings.TrimPrefix(e.Key, prefix)] = true
+	}
+
+	for place := range places {
+		name := fmt.Sprint(place)
+		if taken[name] {
+			continue
+		}
+		lease, err := l.store.Grant(ctx, placeLease)
+		if err != nil {
+			return 0, err
+		}
+		return lease, l.store.Swap(ctx, prefix+name, []byte(l.Self().Address.String()), 0, lease)
+	}
+	return 0, errors.WithMessagef(coriandershift.ErrConflict, "places of %q", prefix)
+}
+
+// renewPlace returns once the lease is lost.
+func (l *Link) renewPlace(ctx context.Context, lease coriandershift.Lease) {
+	renewed := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, placeRenew)
+		err := l.store.Renew(ctx, lease)
+		if err == nil {
+			renewed = time.Now()
+			continue
+		}
+		if errors.Is(err, coriandershift.ErrLeaseLost) || time.Since(renewed) > placeLease {
+			return
+		}
+	}
+}
--- a/internal/transport/link/seed.go
+++ b/internal/transport/link/seed.go
@@ -2,14 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
-	"strings"
 	"time"
-
-	"github.com/pkg/errors"
-
-	"github.com/coriandershift/coriandershift"
 )
 
 const (
@@ -18,9 +12,7 @@
 	// seedsPerDomain bounds the leased keys of one failure domain.
 	seedsPerDomain = 3
 
-	seedLease = 15 * time.Second
-	seedRenew = 5 * time.Second
-	seedRead  = 10 * time.Second
+	seedRead = 10 * time.Second
 )
 
 // FollowSeeds reads the seeds from the store whenever no balancer answers.
@@ -41,14 +33,7 @@
 
 // AnnounceSeed keeps this balancer among the seeds of its failure domain while there is room.
 func (l *Link) AnnounceSeed(ctx context.Context) {
-	for ctx.Err() == nil {
-		lease, err := l.claimSeed(ctx)
-		if err != nil {
-			sleep(ctx, seedRenew)
-			continue
-		}
-		l.renewSeed(ctx, lease)
-	}
+	l.holdPlace(ctx, seedPrefix, seedsPerDomain, func(held context.Context) { <-held.Done() })
 }
 
 func (l *Link) readSeeds(ctx context.Context) {
@@ -75,48 +60,3 @@
 	defer l.mu.Unlock()
 	l.node.SetSeeds(seeds)
 }
-
-// claimSeed takes the first free place of the failure domain. It returns
-// coriandershift.ErrConflict if all are taken.
-func (l *Link) claimSeed(ctx context.Context) (coriandershift.Lease, error) {
-	self := l.Self()
-	prefix := seedPrefix + self.Domain + "/"
-	entries, err := l.store.List(ctx, prefix)
-	if err != nil {
-		return 0, err
-	}
-
-	taken := map[string]bool{}
-	for _, e := range entries {
-		taken[strings.TrimPrefix(e.Key, prefix)] = true
-	}
-
-	for place := range seedsPerDomain {
-		name := fmt.Sprint(place)
-		if taken[name] {
-			continue
-		}
-		lease, err := l.store.Grant(ctx, seedLease)
-		if err != nil {
-			return 0, err
-		}
-		return lease, l.store.Swap(ctx, prefix+name, []byte(self.Address.String()), 0, lease)
-	}
-	return 0, errors.WithMessagef(coriandershift.ErrConflict, "seeds of failure domain %q", self.Domain)
-}
-
-// renewSeed returns once the lease is lost.
-func (l *Link) renewSeed(ctx context.Context, lease coriandershift.Lease) {
-	renewed := time.Now()
-	for ctx.Err() == nil {
-		sleep(ctx, seedRenew)
-		err := l.store.Renew(ctx, lease)
-		if err == nil {
-			renewed = time.Now()
-			continue
-		}
-		if errors.Is(err, coriandershift.ErrLeaseLost) || time.Since(renewed) > seedLease {
-			return
-		}
-	}
-}
