Back off from a store that is down and bound who asks it for a place

Seen in script/demo: with the store up a second later than the balancers, no agent was ready for 15 s, since a refused connection was waited out like a place that is taken.

--- a/internal/transport/link/place.go
+++ b/internal/transport/link/place.go
@@ -9,12 +9,17 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
 const (
 	placeLease = 15 * time.Second
 	placeRenew = 5 * time.Second
 	placeRetry = 15 * time.Second
+
+	// rivalsPerPlace bounds how many balancers of a failure domain ask the
+	// store for a place, so that the calls do not grow with the fleet.
+	rivalsPerPlace = 4
 )
 
 // holdPlace takes one of a bounded number of places of the failure domain and
@@ -22,13 +27,24 @@
 // ends. A holder that is paused past its lease may run beside its successor for
 // a moment, so the function must do no harm twice.
 func (l *Link) holdPlace(ctx context.Context, prefix string, places int, run func(held context.Context)) {
+	var pause backoff
 	for ctx.Err() == nil {
+		if l.rank() >= places*rivalsPerPlace {
+			sleep(ctx, placeRetry)
+			continue
+		}
+
 		lease, err := l.claimPlace(ctx, prefix+l.Self().Domain+"/", places)
-		if err != nil {
+		if errors.Is(err, coriandershift.ErrConflict) {
 			sleep(ctx, placeRetry)
 			continue
 		}
+		if err != nil {
+			sleep(ctx, pause.next())
+			continue
+		}
 
+		pause.reset()
 		held, lost := context.WithCancel(ctx)
 		go func() {
 			defer lost()
@@ -39,6 +55,22 @@
 	}
 }
 
+// rank returns how many balancers of the failure domain come before this one by their hash.
+func (l *Link) rank() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	self := l.node.Self()
+	own := roster.Hash(self.Address)
+	before := 0
+	for _, m := range l.node.Roster().Balancers() {
+		if m.Domain == self.Domain && roster.Hash(m.Address) < own {
+			before++
+		}
+	}
+	return before
+}
+
 // claimPlace takes the first free place. It returns coriandershift.ErrConflict if all are taken.
 func (l *Link) claimPlace(ctx context.Context, prefix string, places int) (coriandershift.Lease, error) {
 	entries, err := l.store.List(ctx, prefix)
--- a/internal/transport/link/seed.go
+++ b/internal/transport/link/seed.go
@@ -17,6 +17,7 @@
 
 // FollowSeeds reads the seeds from the store whenever no balancer answers.
 func (l *Link) FollowSeeds(ctx context.Context) {
+	var pause backoff
 	for ctx.Err() == nil {
 		l.mu.Lock()
 		lonely := l.node.Isolated(time.Now())
@@ -24,9 +25,10 @@
 
 		if lonely {
 			l.readSeeds(ctx)
-			sleep(ctx, retryStore)
+			sleep(ctx, pause.next())
 			continue
 		}
+		pause.reset()
 		sleep(ctx, seedRead)
 	}
 }
--- a/internal/transport/link/watch.go
+++ b/internal/transport/link/watch.go
@@ -25,11 +25,12 @@
 }
 
 func (l *Link) readFirst(ctx context.Context, committer *commit.Committer) {
+	var pause backoff
 	for ctx.Err() == nil && l.Config().Revision == 0 {
 		if snapshot, err := committer.Load(ctx); err == nil {
 			l.Adopt(snapshot.Config, "store")
 		}
-		sleep(ctx, retryStore)
+		sleep(ctx, pause.next())
 	}
 }
 
