--- a/cmd/standin/cmd_caller.go
+++ b/cmd/standin/cmd_caller.go
@@ -25,6 +25,7 @@
 	Authority string   `arg:"--authority,required" help:"certificate of the authority to trust"`
 	Seconds   int      `arg:"--seconds" default:"10" help:"how long users keep coming"`
 	Users     int      `arg:"--users" default:"24" help:"users at once"`
+	Rate      float64  `arg:"--rate" help:"users that come each second, instead of a fixed number"`
 	Download  int      `arg:"--download" default:"1048576" help:"length of a download in bytes"`
 	Seed      uint64   `arg:"--seed" default:"1" help:"seed of the users' choices"`
 	Upstreams []string `arg:"--upstream,separate" help:"URL of an upstream to ask for what it saw; may be repeated"`
@@ -58,6 +59,7 @@
 		Services:  services,
 		Authority: pool,
 		Users:     callerArgs.Users,
+		Rate:      callerArgs.Rate,
 		Download:  callerArgs.Download,
 		Seed:      callerArgs.Seed,
 	})
@@ -72,6 +74,9 @@
 	for _, line := range report.Failures() {
 		fmt.Fprintln(os.Stderr, line)
 	}
+	for _, line := range report.ByKind(time.Duration(callerArgs.Seconds) * time.Second) {
+		fmt.Fprintln(os.Stderr, line)
+	}
 	fmt.Println(report.String())
 	if !report.OK() {
 		return errNotKept
--- /dev/null
+++ b/internal/coordination/flight/flight_test.go
@@ -0,0 +1,62 @@
+package flight_test
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/flight"
+)
+
+var (
+	begin = time.Unix(1_800_000_000, 0)
+	ranks = []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:7200"), netip.MustParseAddrPort("192.0.2.2:7200")}
+	id    = []byte("first ID")
+)
+
+func TestDecide(t *testing.T) {
+	tests := map[string]struct {
+		ranks   []netip.AddrPort
+		mayTake bool
+		want    flight.Decision
+	}{
+		"takes":              {ranks, true, flight.Decision{Take: true}},
+		"hands on":           {ranks, false, flight.Decision{To: ranks[0]}},
+		"no rank is left":    {nil, false, flight.Decision{Take: true}},
+		"takes the last one": {nil, true, flight.Decision{Take: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := flight.New().Decide(begin, id, test.ranks, test.mayTake); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestAllDatagramsOfAHandshakeGoTheSameWay(t *testing.T) {
+	for name, first := range map[string]bool{"taken": true, "handed on": false} {
+		t.Run(name, func(t *testing.T) {
+			table := flight.New()
+			want := table.Decide(begin, id, ranks, first)
+			now := begin.Add(flight.HandshakeTime - time.Millisecond)
+			if got := table.Decide(now, id, ranks[1:], !first); got != want {
+				t.Errorf("got %v, want %v as for the first datagram", got, want)
+			}
+			if got := table.Decide(begin.Add(flight.HandshakeTime), id, ranks, !first); got == want {
+				t.Error("the decision outlived the handshake")
+			}
+		})
+	}
+}
+
+func TestFloodDoesNotGrowMemory(t *testing.T) {
+	table := flight.New()
+	for i := range uint64(3 * flight.Remembered) {
+		table.Decide(begin, binary.BigEndian.AppendUint64(nil, i), ranks, i%2 == 0)
+	}
+	if table.Len() > flight.Remembered {
+		t.Errorf("%d first connection IDs are remembered", table.Len())
+	}
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -52,13 +52,19 @@
 
 // Result is one request with its end.
 type Result struct {
-	ID      string
+	ID string
+
+	// Kind is submission, feed or download.
+	Kind    string
 	Verdict Verdict
 	Detail  string
 
 	// Domain is the failure domain that the flow is known to end in; empty if no answer told it.
 	Domain string
 
+	// Upstream is the one that answered, if one did.
+	Upstream string
+
 	// Began is when the request began, from the crowd's start.
 	Began time.Duration
 	Took  time.Duration
@@ -69,9 +75,12 @@
 	Services  []Service
 	Authority *x509.CertPool
 
-	// Users is how many are there at once.
+	// Users is how many are there at once, if Rate is 0.
 	Users int
 
+	// Rate is how many users come each second, whatever happens to those before; 0 for a fixed number.
+	Rate float64
+
 	// Download is the length of a download, in bytes.
 	Download int
 
@@ -97,6 +106,11 @@
 
 // Run lets users come until the context ends, and returns once the last has left.
 func (c *Crowd) Run(ctx context.Context) {
+	if c.options.Rate > 0 {
+		c.runOpen(ctx)
+		return
+	}
+
 	var users sync.WaitGroup
 	for i := range c.options.Users {
 		random := rand.New(rand.NewPCG(c.options.Seed, uint64(i)))
@@ -109,6 +123,20 @@
 	users.Wait()
 }
 
+// runOpen lets users come at random times with a given rate.
+func (c *Crowd) runOpen(ctx context.Context) {
+	random := rand.New(rand.NewPCG(c.options.Seed, 0))
+	var users sync.WaitGroup
+	next := time.Now()
+	for i := uint64(1); ctx.Err() == nil; i++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / c.options.Rate * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		own := rand.New(rand.NewPCG(c.options.Seed, i))
+		users.Go(func() { c.visit(context.WithoutCancel(ctx), own) })
+	}
+	users.Wait()
+}
+
 // Results returns the requests that have ended.
 func (c *Crowd) Results() []Result {
 	c.mu.Lock()
@@ -149,9 +177,10 @@
 
 	id := fmt.Sprintf("%s-%d", c.prefix, c.next.Add(1))
 	request, want := c.newRequest(ctx, service, id, random)
+	kind := want.kind()
 	started := time.Now()
-	result := Result{ID: id, Began: started.Sub(c.started)}
-	result.Verdict, result.Detail, result.Domain = perform(transport, request, service, want)
+	result := Result{ID: id, Kind: kind, Began: started.Sub(c.started)}
+	perform(transport, request, service, want, &result)
 	result.Took = time.Since(started)
 	return result
 }
@@ -187,6 +216,16 @@
 	lastLine bool
 }
 
+func (e expectation) kind() string {
+	switch {
+	case e.text != "":
+		return "submission"
+	case e.lastLine:
+		return "feed"
+	}
+	return "download"
+}
+
 func (e expectation) holds(body []byte) bool {
 	switch {
 	case e.text != "":
@@ -201,30 +240,36 @@
 	return int64(len(body)) == e.length
 }
 
-func perform(transport *http3.Transport, request *http.Request, service Service, want expectation) (Verdict, string, string) {
+// perform makes the request once and fills in how it ended.
+func perform(transport *http3.Transport, request *http.Request, service Service, want expectation, result *Result) {
+	result.Verdict = Broken
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return Broken, errors.Cause(err).Error(), ""
+		result.Detail = errors.Cause(err).Error()
+		return
 	}
 	defer response.Body.Close()
 
-	domain := response.Header.Get("Failure-Domain")
+	result.Domain = response.Header.Get("Failure-Domain")
+	result.Upstream = response.Header.Get("Upstream-Name")
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return Broken, err.Error(), domain
+		result.Detail = err.Error()
+		return
 	}
 
-	if response.Header.Get("Request-Outcome") == "not-run" {
-		return Refused, strings.TrimSpace(string(body)), domain
-	}
-	if response.StatusCode != http.StatusOK {
-		return Broken, response.Status + ": " + strings.TrimSpace(string(body)), domain
-	}
-	if name := response.Header.Get("Service-Name"); name != service.Name {
-		return Misrouted, "answered by service " + name, domain
-	}
-	if !want.holds(body) {
-		return Broken, fmt.Sprintf("answer of %d bytes is not whole", len(body)), domain
+	name := response.Header.Get("Service-Name")
+	text := strings.TrimSpace(string(body))
+	switch {
+	case response.Header.Get("Request-Outcome") == "not-run":
+		result.Verdict, result.Detail = Refused, text
+	case response.StatusCode != http.StatusOK:
+		result.Detail = response.Status + ": " + text
+	case name != service.Name:
+		result.Verdict, result.Detail = Misrouted, "answered by service "+name
+	case !want.holds(body):
+		result.Detail = fmt.Sprintf("answer of %d bytes is not whole", len(body))
+	default:
+		result.Verdict = Whole
 	}
-	return Whole, "", domain
 }
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -2,12 +2,23 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/coriandershift/coriandershift/internal/standin/upstrm"
 )
 
+// Kind is what became of one kind of request.
+type Kind struct {
+	Requests int
+	Whole    int
+
+	// Took is how long each whole one took.
+	Took []time.Duration
+}
+
 const mostLost = 20 // broken requests listed one by one
 
 // Report is what the users and the upstreams saw, taken together.
@@ -27,9 +38,12 @@
 	// Overloads is the number of requests that an upstream got above what it bears.
 	Overloads int
 
-	// Imbalance is the largest ratio, over the services, of the most requests of one upstream to the mean.
+	// Imbalance is the largest ratio, over the services, of the most answers of one upstream to the mean.
 	Imbalance float64
 
+	// Kinds counts what became of each kind of request.
+	Kinds map[string]*Kind
+
 	// Lost are the broken requests.
 	Lost []Result
 
@@ -39,7 +53,7 @@
 
 // NewReport returns the report. Broken requests of the failure domains named are counted as given up.
 func NewReport(results []Result, stats []upstrm.Stats, out []string) Report {
-	r := Report{Requests: len(results), Details: map[string]int{}, Imbalance: imbalance(stats)}
+	r := Report{Requests: len(results), Details: map[string]int{}, Kinds: map[string]*Kind{}, Imbalance: imbalance(results, stats)}
 
 	seenIn := map[string]string{}
 	for _, s := range stats {
@@ -87,7 +101,37 @@
 	return lines
 }
 
+// ByKind returns a line for each kind of request, with the rate of whole ones and their times.
+func (r *Report) ByKind(over time.Duration) []string {
+	var lines []string
+	for _, name := range slices.Sorted(maps.Keys(r.Kinds)) {
+		k := r.Kinds[name]
+		slices.Sort(k.Took)
+		lines = append(lines, fmt.Sprintf("%s requests=%d whole=%d whole/s=%.0f p50=%s p99=%s",
+			name, k.Requests, k.Whole, float64(k.Whole)/over.Seconds(), k.quantile(0.5), k.quantile(0.99)))
+	}
+	return lines
+}
+
+func (k *Kind) quantile(q float64) time.Duration {
+	if len(k.Took) == 0 {
+		return 0
+	}
+	return k.Took[int(q*float64(len(k.Took)-1))].Round(time.Millisecond)
+}
+
 func (r *Report) count(result Result, seenIn string, out []string) {
+	kind := r.Kinds[result.Kind]
+	if kind == nil {
+		kind = &Kind{}
+		r.Kinds[result.Kind] = kind
+	}
+	kind.Requests++
+	if result.Verdict == Whole {
+		kind.Whole++
+		kind.Took = append(kind.Took, result.Took)
+	}
+
 	switch result.Verdict {
 	case Whole:
 		r.Whole++
@@ -126,11 +170,18 @@
 	return repeated
 }
 
-func imbalance(stats []upstrm.Stats) float64 {
+// imbalance is the largest ratio, over the services, of the most answers of one
+// upstream to the mean of all that are asked for what they saw.
+func imbalance(results []Result, stats []upstrm.Stats) float64 {
+	answers := map[string]int{}
+	for _, r := range results {
+		answers[r.Upstream]++
+	}
+
 	most, sum, count := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, s := range stats {
-		most[s.Service] = max(most[s.Service], s.Requests)
-		sum[s.Service] += s.Requests
+		most[s.Service] = max(most[s.Service], answers[s.Name])
+		sum[s.Service] += answers[s.Name]
 		count[s.Service]++
 	}
 
--- /dev/null
+++ b/internal/transport/admin/admin_test.go
@@ -0,0 +1,274 @@
+package admin_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/commit"
+	standin "github.com/coriandershift/coriandershift/internal/standin/store"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/transport/admin"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/internal/transport/store"
+)
+
+// inForce is how soon a change shall be in force everywhere.
+const inForce = 7 * time.Second
+
+// balancer is one balancer without its data path.
+type balancer struct {
+	link    *link.Link
+	admin   netip.AddrPort
+	address netip.AddrPort
+	stop    context.CancelFunc
+}
+
+type fleet struct {
+	t        *testing.T
+	tls      *tls.Config
+	platform *standin.Store
+	store    *store.Client
+	client   *admin.Client
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, tls: newTLS(t), platform: standin.New()}
+	server := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(server.Close)
+	f.store = store.New(server.URL)
+	f.client = f.newClient()
+	return f
+}
+
+func (f *fleet) newClient() *admin.Client {
+	client := admin.NewClient(f.tls)
+	f.t.Cleanup(func() { client.Close() })
+	return client
+}
+
+// start runs a balancer at addresses, or at free ones. Followers do not read the store.
+func (f *fleet) start(address, adminAddress netip.AddrPort, follows bool, seeds ...netip.AddrPort) *balancer {
+	f.t.Helper()
+	if !address.IsValid() {
+		address, adminAddress = freeUDP(f.t), freeUDP(f.t)
+	}
+	b := &balancer{address: address, admin: adminAddress}
+	client := f.newClient()
+	log := slog.New(slog.DiscardHandler)
+	l, err := link.Listen(link.Options{
+		Self: roster.Member{
+			Address: address, Admin: adminAddress, Role: roster.Balancer, Name: address.String(), Domain: "d1",
+			Incarnation: uint64(time.Now().UnixMilli()),
+		},
+		Keys: keyset.Set{Cluster: make([]byte, keyset.KeyLength)}, Log: log, Metrics: metric.New(),
+		Store: f.store, Fetcher: client, Seeds: seeds,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	b.link = l
+
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	b.stop = func() {
+		stop()
+		l.Conn().Close()
+		<-done
+	}
+	f.t.Cleanup(b.stop)
+	server := admin.NewServer(log, l, commit.New(f.store), client)
+	go func() {
+		defer close(done)
+		if err := server.Serve(ctx, adminAddress, f.tls); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	go l.Run(ctx)
+	go read(l)
+	if !follows {
+		go l.Watch(ctx)
+	}
+	return b
+}
+
+// read takes the place of the data path, which owns the socket's reads.
+func read(l *link.Link) {
+	buffer := make([]byte, 4096)
+	for {
+		length, _, err := l.Conn().ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		l.Control(buffer[:length])
+	}
+}
+
+func (f *fleet) waitForRevision(b *balancer, revision uint64) {
+	f.t.Helper()
+	for end := time.Now().Add(inForce); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if b.link.Config().Revision >= revision {
+			return
+		}
+	}
+	f.t.Fatalf("revision %d is not in force after %s, but %d", revision, inForce, b.link.Config().Revision)
+}
+
+func putDomain(id, name string, number uint8) config.Change {
+	return config.Change{ID: id, Operations: []config.Operation{
+		{Verb: config.PutDomain, Domain: &config.Domain{Name: name, Number: number}},
+	}}
+}
+
+func (f *fleet) mustChange(b *balancer, change config.Change) uint64 {
+	f.t.Helper()
+	revision, err := f.client.Change(f.t.Context(), b.admin, change)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return revision
+}
+
+func TestChangeComesIntoForceThroughPeers(t *testing.T) {
+	f := newFleet(t)
+	first := f.start(netip.AddrPort{}, netip.AddrPort{}, false)
+	second := f.start(netip.AddrPort{}, netip.AddrPort{}, true, first.address)
+	f.waitForRevision(second, f.mustChange(first, putDomain("a", "south-1", 1)))
+	f.waitForRevision(second, f.mustChange(first, putDomain("b", "south-2", 2)))
+	if domains := second.link.Config().Domains; len(domains) != 2 {
+		t.Errorf("got %d failure domains, want 2", len(domains))
+	}
+}
+
+func TestJoinerGetsConfigurationWhileTheStoreIsDown(t *testing.T) {
+	f := newFleet(t)
+	first := f.start(netip.AddrPort{}, netip.AddrPort{}, false)
+	revision := f.mustChange(first, putDomain("a", "south-1", 1))
+	f.platform.SetFault(standin.Fault{Down: true})
+	f.waitForRevision(f.start(netip.AddrPort{}, netip.AddrPort{}, false, first.address), revision)
+	if first.link.Config().Revision != revision {
+		t.Error("the configuration did not outlast the store")
+	}
+}
+
+func TestChangeWhileTheStoreIsDownIsRefused(t *testing.T) {
+	f := newFleet(t)
+	b := f.start(netip.AddrPort{}, netip.AddrPort{}, false)
+	f.platform.SetFault(standin.Fault{Down: true})
+	if _, err := f.client.Change(t.Context(), b.admin, putDomain("a", "south-1", 1)); err == nil {
+		t.Error("a change was accepted while the store is down")
+	}
+}
+
+func TestLostAnswerOfTheStoreIsResolved(t *testing.T) {
+	f := newFleet(t)
+	b := f.start(netip.AddrPort{}, netip.AddrPort{}, false)
+	f.mustChange(b, putDomain("a", "south-1", 1))
+	f.platform.SetFault(standin.Fault{LoseAnswers: 2}) // of the part and of the root
+	if revision := f.mustChange(b, putDomain("b", "south-2", 2)); revision != 2 {
+		t.Errorf("got revision %d, want 2", revision)
+	}
+}
+
+func TestErrorsKeepTheirMeaningOverTheWire(t *testing.T) {
+	f := newFleet(t)
+	b := f.start(netip.AddrPort{}, netip.AddrPort{}, false)
+	f.mustChange(b, putDomain("a", "south-1", 1))
+
+	stale := putDomain("b", "south-2", 2)
+	stale.Base = 9
+	tests := map[string]struct {
+		change config.Change
+		want   error
+	}{
+		"invalid": {putDomain("c", "", 3), config.ErrInvalid},
+		"stale":   {stale, commit.ErrStale},
+		"refused": {config.Change{ID: "d", Operations: []config.Operation{{Verb: config.TakeOut, Name: "south-1"}}}, config.ErrRefused},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, err := f.client.Change(t.Context(), b.admin, test.change); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func TestKeptConnectionToAReplacedBalancerIsGivenUp(t *testing.T) {
+	f := newFleet(t)
+	b := f.start(netip.AddrPort{}, netip.AddrPort{}, false)
+	f.mustChange(b, putDomain("a", "south-1", 1))
+	if _, err := f.client.Config(t.Context(), b.admin); err != nil {
+		t.Fatal(err)
+	}
+
+	b.stop()
+	f.waitForRevision(f.start(b.address, b.admin, false), 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if _, err := f.client.Config(ctx, b.admin); err != nil {
+		t.Errorf("the kept connection was not given up: %v", err)
+	}
+}
+
+func TestStrangersAreNotServed(t *testing.T) {
+	f := newFleet(t)
+	b := f.start(netip.AddrPort{}, netip.AddrPort{}, false)
+	stranger := f.tls.Clone()
+	stranger.Certificates = newTLS(t).Certificates
+	client := admin.NewClient(stranger)
+	defer client.Close()
+	if _, err := client.Config(t.Context(), b.admin); err == nil {
+		t.Error("a stranger's certificate was accepted")
+	}
+}
+
+func newTLS(t *testing.T) *tls.Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{admin.PeerName}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(certificate)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: admin.PeerName,
+	}
+}
+
+func freeUDP(t *testing.T) netip.AddrPort {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return netip.MustParseAddrPort(conn.LocalAddr().String())
+}
