Test flows over a bad network, through every balancer's end, and out of a domain taken out

The in-process system now has two balancers behind the fabric stand-in, which can lose, double and delay datagrams.

--- a/cmd/standin/cmd_fabric.go
+++ b/cmd/standin/cmd_fabric.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +17,9 @@
 var fabricArgs struct {
 	Services  []netip.AddrPort `arg:"--service,separate,required" help:"IP address and UDP port of a service; may be repeated"`
 	Balancers []string         `arg:"--balancer,separate,required" help:"IP address of a balancer's frontend and its health URL, as IP=URL; may be repeated"`
+	Loss      float64          `arg:"--loss" help:"share of datagrams lost, 0 to 1"`
+	Duplicate float64          `arg:"--duplicate" help:"share of datagrams doubled, 0 to 1"`
+	Delay     time.Duration    `arg:"--delay" help:"longest time that a datagram is held back"`
 }
 
 var fabricCommand = clitab.Command{
@@ -37,5 +41,6 @@
 	}
 
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	return fabric.New(log, balancers).Serve(context.Background(), fabricArgs.Services)
+	faults := fabric.Faults{Loss: fabricArgs.Loss, Duplicate: fabricArgs.Duplicate, Delay: fabricArgs.Delay}
+	return fabric.New(log, balancers, faults).Serve(context.Background(), fabricArgs.Services)
 }
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -4,6 +4,7 @@
 package fabric
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -34,10 +35,21 @@
 	Health string
 }
 
+// Faults are what the network does to datagrams on the way in and out.
+type Faults struct {
+	// Loss and Duplicate are the shares of datagrams that are lost or doubled, 0 to 1.
+	Loss      float64
+	Duplicate float64
+
+	// Delay is the longest time that a datagram is held back; each waits for a random part of it.
+	Delay time.Duration
+}
+
 // Fabric hands packets to balancers at random.
 type Fabric struct {
 	log       *slog.Logger
 	balancers []*target
+	faults    Faults
 }
 
 type target struct {
@@ -46,8 +58,8 @@
 }
 
 // New returns a Fabric before some balancers.
-func New(log *slog.Logger, balancers []Balancer) *Fabric {
-	f := &Fabric{log: log}
+func New(log *slog.Logger, balancers []Balancer, faults Faults) *Fabric {
+	f := &Fabric{log: log, faults: faults}
 	for _, b := range balancers {
 		f.balancers = append(f.balancers, &target{Balancer: b})
 	}
@@ -78,6 +90,27 @@
 	return nil
 }
 
+// send writes a datagram as the faults have it.
+func (f *Fabric) send(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	copies := 1
+	if rand.Float64() < f.faults.Duplicate {
+		copies = 2
+	}
+	for range copies {
+		if rand.Float64() < f.faults.Loss {
+			continue
+		}
+		if f.faults.Delay == 0 {
+			_, _ = conn.WriteToUDPAddrPort(datagram, to) // lost, as on a network
+			continue
+		}
+		kept := bytes.Clone(datagram)
+		time.AfterFunc(time.Duration(rand.Int64N(int64(f.faults.Delay))), func() {
+			_, _ = conn.WriteToUDPAddrPort(kept, to)
+		})
+	}
+}
+
 // choose returns a balancer that is up, at random.
 func (f *Fabric) choose() *target {
 	up := make([]*target, 0, len(f.balancers))
@@ -133,7 +166,7 @@
 			continue
 		}
 		to := netip.AddrPortFrom(b.Frontend, s.address.Port())
-		_, _ = conn.WriteToUDPAddrPort(buffer[:length], to) // lost, as on a network
+		s.fabric.send(conn, buffer[:length], to)
 	}
 }
 
@@ -171,6 +204,6 @@
 		if err != nil {
 			return
 		}
-		_, _ = s.conn.WriteToUDPAddrPort(buffer[:length], caller) // lost, as on a network
+		s.fabric.send(s.conn, buffer[:length], caller)
 	}
 }
--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -17,8 +18,8 @@
 
 	"github.com/quic-go/quic-go"
 
+	"github.com/coriandershift/coriandershift/internal/standin/fabric"
 	"github.com/coriandershift/coriandershift/internal/state/config"
-	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
 // counting is an upstream that counts how often each key ran.
@@ -158,7 +159,7 @@
 		<-release
 		greet(w, r)
 	})
-	s := newSystemWith(t, func(limits *config.Limits) { limits.Slots, limits.ColdSlots, limits.Queue = 1, 1, 0 }, blocked, http.HandlerFunc(greet))
+	s := newSystemWith(t, conditions{limits: func(l *config.Limits) { l.Slots, l.ColdSlots, l.Queue = 1, 1, 0 }}, blocked, http.HandlerFunc(greet))
 	s.waitForPeers(2)
 	defer close(release)
 
@@ -195,7 +196,7 @@
 	}
 	closed := netip.MustParseAddrPort(listener.Addr().String())
 	listener.Close()
-	s.addAgent(freeUDP(t), closed)
+	s.addAgent(freeUDP(t), closed, "d2")
 	s.waitForAgents(1)
 	status, outcome, _ := s.answer(s.client(), s.request("POST", "/submissions", "k", strings.NewReader("x")))
 	if status != http.StatusServiceUnavailable || outcome != "not-run" {
@@ -285,7 +286,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	for _, to := range []netip.AddrPort{s.service, s.balancer.address, s.agents[0].address} {
+	for _, to := range []netip.AddrPort{s.service, s.balancers[0].address, s.agents[0].address} {
 		for length := range 300 {
 			datagram := make([]byte, length*5)
 			for i := range datagram {
@@ -313,7 +314,7 @@
 	<-old.done
 	started := make(chan struct{})
 	go func() {
-		s.addAgent(old.address, freeUDP(t))
+		s.addAgent(old.address, freeUDP(t), "d2")
 		close(started)
 	}()
 	<-started
@@ -354,12 +355,7 @@
 		p.stop()
 	}
 	s.waitFor("the leaving to be known", func() bool {
-		for _, m := range s.balancer.link.Members() {
-			if m.Role == roster.Agent && m.State == roster.Alive {
-				return false
-			}
-		}
-		return true
+		return s.balancers[0].openAgents()+s.balancers[1].openAgents() == 0
 	})
 	close(release)
 	body, err := io.ReadAll(response.Body)
@@ -367,3 +363,112 @@
 		t.Errorf("the feed was cut: %q, %v", body, err)
 	}
 }
+
+func TestAnswersAreWholeOverABadNetwork(t *testing.T) {
+	block := make([]byte, 300_000)
+	faults := fabric.Faults{Loss: 0.03, Duplicate: 0.03, Delay: 4 * time.Millisecond}
+	s := newSystemWith(t, conditions{faults: faults}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(block)
+	}))
+
+	var callers sync.WaitGroup
+	for range 6 {
+		client := s.client()
+		callers.Go(func() {
+			if status, _, body := s.answer(client, s.request("GET", "/reports/1", "", nil)); status != 200 || len(body) != len(block) {
+				t.Errorf("got status %d with %d bytes", status, len(body))
+			}
+		})
+	}
+	callers.Wait()
+}
+
+func TestFlowSurvivesEveryBalancerInTurn(t *testing.T) {
+	lines := 60
+	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for i := range lines {
+			fmt.Fprintf(w, "task %d\n", i)
+			w.(http.Flusher).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}))
+	response, err := s.client().Do(s.request("GET", "/feeds/1", "", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	// The first dies without a word, a new one joins, and then the second goes as planned.
+	first, second := s.balancers[0], s.balancers[1]
+	first.stop()
+	<-first.done
+	first.healthy.Store(false)
+	time.Sleep(time.Second)
+	s.balancers = s.balancers[1:]
+	third := s.addBalancer(first.frontend)
+	_ = third
+	first.healthy.Store(true) // the fabric's check of this address is the first one's
+	time.Sleep(500 * time.Millisecond)
+	second.healthy.Store(false)
+	second.link.Leave()
+	time.Sleep(500 * time.Millisecond)
+	second.stop()
+
+	body, err := io.ReadAll(response.Body)
+	if err != nil || strings.Count(string(body), "\n") != lines {
+		t.Errorf("the feed broke off: %d lines, %v", strings.Count(string(body), "\n"), err)
+	}
+}
+
+func TestDomainOutEndsItsFlowsAtOnceAndNoOthers(t *testing.T) {
+	release := make(chan struct{})
+	where := func(name string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprintln(w, name)
+			if strings.HasPrefix(r.URL.Path, "/feeds/") {
+				w.(http.Flusher).Flush()
+				select {
+				case <-release:
+				case <-r.Context().Done():
+				}
+			}
+		})
+	}
+	s := newSystem(t, where("d2"), where("d3"))
+	feeds := map[string]*bufio.Reader{}
+	for len(feeds) < 2 {
+		response, err := s.client().Do(s.request("GET", "/feeds/1", "", nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		feed := bufio.NewReader(response.Body)
+		name, err := feed.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		feeds[name] = feed
+	}
+
+	s.adopt(func(c *config.Config) { c.Domains[1].Out = true })
+	ended := make(chan error, 1)
+	go func() {
+		_, err := feeds["d2\n"].ReadString('\n')
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		var reset *quic.StatelessResetError
+		if !errors.As(err, &reset) {
+			t.Errorf("a flow that ended in the domain got %v, want a stateless reset", err)
+		}
+	case <-time.After(bound):
+		t.Error("a flow that ended in the domain was not told")
+	}
+
+	if _, _, got := s.answer(s.client(), s.request("GET", "/x", "", nil)); got != "d3\n" {
+		t.Errorf("a new flow was answered by %q", got)
+	}
+	close(release)
+	if _, err := feeds["d3\n"].ReadString('\n'); err != io.EOF {
+		t.Errorf("a flow of another domain ended with %v", err)
+	}
+}
--- a/internal/transport/agent/system_test.go
+++ b/internal/transport/agent/system_test.go
@@ -18,12 +18,14 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/coriandershift/coriandershift/internal/standin/fabric"
 	standin "github.com/coriandershift/coriandershift/internal/standin/store"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/connid"
@@ -49,17 +51,17 @@
 	Cluster:       bytes.Repeat([]byte{2}, keyset.KeyLength),
 }
 
-// system is one balancer with agents before upstreams, in this process.
+// system is two balancers behind a fabric, with agents before upstreams, in this process.
 type system struct {
-	t        *testing.T
-	cfg      *config.Config
-	balancer *process
-	agents   []*process
-	service  netip.AddrPort
-	store    *store.Client
-	public   setup.Certificate
-	roots    *x509.CertPool
-	peers    *tls.Config
+	t         *testing.T
+	cfg       *config.Config
+	balancers []*process
+	agents    []*process
+	service   netip.AddrPort
+	store     *store.Client
+	public    setup.Certificate
+	roots     *x509.CertPool
+	peers     *tls.Config
 }
 
 // process is a balancer or an agent.
@@ -69,14 +71,24 @@
 	address netip.AddrPort
 	stop    context.CancelFunc
 	done    chan struct{}
+
+	// frontend and healthy are set for a balancer.
+	frontend netip.Addr
+	healthy  atomic.Bool
+}
+
+// conditions are what a test changes of the system.
+type conditions struct {
+	limits func(*config.Limits)
+	faults fabric.Faults
 }
 
 func newSystem(t *testing.T, upstreams ...http.Handler) *system {
 	t.Helper()
-	return newSystemWith(t, func(*config.Limits) {}, upstreams...)
+	return newSystemWith(t, conditions{}, upstreams...)
 }
 
-func newSystemWith(t *testing.T, adjust func(*config.Limits), upstreams ...http.Handler) *system {
+func newSystemWith(t *testing.T, c conditions, upstreams ...http.Handler) *system {
 	t.Helper()
 	s := &system{t: t, service: freeUDP(t)}
 	s.makeCertificate()
@@ -85,7 +97,7 @@
 	s.store = store.New(platform.URL)
 	s.cfg = &config.Config{
 		Revision: 1,
-		Domains:  []config.Domain{{Name: "d1", Number: 1}, {Name: "d2", Number: 2}},
+		Domains:  []config.Domain{{Name: "d1", Number: 1}, {Name: "d2", Number: 2}, {Name: "d3", Number: 3}},
 		Services: []config.Service{{
 			Name: "checklists", Tenant: "higieniza", Number: 1, Addresses: []string{s.service.String()},
 			Limits: config.Limits{Slots: 5, ColdSlots: 5, Connections: 100, Queue: 5, WarmUp: 0},
@@ -96,23 +108,69 @@
 			},
 		}},
 	}
+	if c.limits != nil {
+		c.limits(&s.cfg.Services[0].Limits)
+	}
 
-	adjust(&s.cfg.Services[0].Limits)
-	s.balancer = s.newProcess(roster.Member{Role: roster.Balancer, Name: "balancer", Domain: "d1", Admin: freeUDP(t)})
-	balancer := edge.New(edge.Options{
-		Log: quiet(), Metrics: s.balancer.metrics, Link: s.balancer.link, Keys: keys, IDs: connid.New(keys),
-	})
-	s.run(s.balancer, func(ctx context.Context) { _ = balancer.Run(ctx, func(bool) {}) })
-
-	for _, handler := range upstreams {
+	var behind []fabric.Balancer
+	for _, frontend := range []string{"127.0.0.2", "127.0.0.3"} {
+		behind = append(behind, s.addBalancer(netip.MustParseAddr(frontend)))
+	}
+	for i, handler := range upstreams {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
-		s.addAgent(freeUDP(t), netip.MustParseAddrPort(server.Listener.Addr().String()))
+		s.addAgent(freeUDP(t), netip.MustParseAddrPort(server.Listener.Addr().String()), []string{"d2", "d3"}[i%2])
 	}
+	s.startFabric(behind, c.faults)
 	s.waitForAgents(len(upstreams))
 	return s
 }
 
+func (s *system) startFabric(behind []fabric.Balancer, faults fabric.Faults) {
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := fabric.New(quiet(), behind, faults).Serve(ctx, []netip.AddrPort{s.service}); err != nil {
+			s.t.Error(err)
+		}
+	}()
+	s.t.Cleanup(func() {
+		stop()
+		<-done
+	})
+}
+
+// addBalancer starts a balancer that takes the services' datagrams at an address of its own.
+func (s *system) addBalancer(frontend netip.Addr) fabric.Balancer {
+	p := s.newProcess(roster.Member{Role: roster.Balancer, Name: frontend.String(), Domain: "d1", Admin: freeUDP(s.t)})
+	p.frontend = frontend
+	s.balancers = append(s.balancers, p)
+	balancer := edge.New(edge.Options{
+		Log: quiet(), Metrics: p.metrics, Link: p.link, Keys: keys, IDs: connid.New(keys), Frontend: frontend,
+	})
+	s.run(p, func(ctx context.Context) { _ = balancer.Run(ctx, p.healthy.Store) })
+
+	health := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !p.healthy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	s.t.Cleanup(health.Close)
+	return fabric.Balancer{Frontend: frontend, Health: health.URL}
+}
+
+// adopt takes a new configuration into use at every process.
+func (s *system) adopt(change func(*config.Config)) {
+	next := s.cfg.Clone()
+	next.Revision++
+	change(next)
+	s.cfg = next
+	for _, p := range append(append([]*process{}, s.balancers...), s.agents...) {
+		p.link.Adopt(next, "test")
+	}
+}
+
 func (s *system) newProcess(self roster.Member) *process {
 	if !self.Address.IsValid() {
 		self.Address = freeUDP(s.t)
@@ -121,8 +179,8 @@
 	p := &process{address: self.Address, metrics: metric.New(), done: make(chan struct{})}
 
 	options := link.Options{Self: self, Keys: keys, Log: quiet(), Metrics: p.metrics, Store: s.store}
-	if s.balancer != nil {
-		options.Seeds = []netip.AddrPort{s.balancer.address}
+	for _, b := range s.balancers {
+		options.Seeds = append(options.Seeds, b.address)
 	}
 	l, err := link.Listen(options)
 	if err != nil {
@@ -146,12 +204,12 @@
 	})
 }
 
-func (s *system) addAgent(address, upstream netip.AddrPort) *process {
+func (s *system) addAgent(address, upstream netip.AddrPort, domain string) *process {
 	peer := freeUDP(s.t)
 	p := s.newProcess(roster.Member{
-		Address: address, Role: roster.Agent, Name: "a", Domain: "d2", Service: "checklists", Weight: roster.MaxWeight, Admin: peer,
+		Address: address, Role: roster.Agent, Name: "a", Domain: domain, Service: "checklists", Weight: roster.MaxWeight, Admin: peer,
 	})
-	settings := &setup.Settings{Name: "a", Domain: "d2", Address: address, Agent: &setup.AgentSettings{
+	settings := &setup.Settings{Name: "a", Domain: domain, Address: address, Agent: &setup.AgentSettings{
 		Service: "checklists", Upstream: upstream, Peer: peer, Public: s.public, MaxBody: 1 << 20, Drain: setup.Duration(5 * time.Second),
 	}}
 	a := agent.New(agent.Options{
@@ -162,19 +220,28 @@
 	return p
 }
 
-// waitForAgents waits until the balancer knows agents that take new flows.
+// waitForAgents waits until the fabric's balancers know agents that take new flows.
 func (s *system) waitForAgents(count int) {
 	s.t.Helper()
 	s.waitFor("agents", func() bool {
-		alive := 0
-		for _, m := range s.balancer.link.Members() {
-			if m.Role == roster.Agent && m.State == roster.Alive && m.Weight > 0 {
-				alive++
+		for _, b := range s.balancers {
+			if !b.healthy.Load() || b.openAgents() != count {
+				return false
 			}
 		}
-		return alive == count
+		return true
 	})
-	time.Sleep(100 * time.Millisecond) // the routing table follows the members
+	time.Sleep(300 * time.Millisecond) // the routing table and the fabric's checks follow
+}
+
+func (p *process) openAgents() int {
+	open := 0
+	for _, m := range p.link.Members() {
+		if m.Role == roster.Agent && m.State == roster.Alive && m.Weight > 0 {
+			open++
+		}
+	}
+	return open
 }
 
 // waitForPeers waits until every agent knows all of them.
