Tell joining balancers of the dead, so that flows to them are reset at once

It was not merged because those who had forgotten a death would have been reminded for ever; whether a death is worth remembering now follows from the member's own last heartbeat, so all forget at the same time.

--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -45,7 +45,10 @@
 	role   roster.Role
 	down   bool
 	paused bool
-	inbox  []member.Message
+
+	// touched says that something has befallen the host.
+	touched bool
+	inbox   []member.Message
 }
 
 type letter struct {
@@ -201,7 +204,7 @@
 // mustAgree fails unless every running balancer knows the truth about every host within a bound.
 func (f *fleet) mustAgree(within time.Duration) {
 	f.t.Helper()
-	wrong := 0
+	wrong, example := 0, ""
 	for passed := time.Duration(0); passed <= within; passed += member.TickEvery {
 		wrong = 0
 		for _, h := range f.nodes {
@@ -209,12 +212,15 @@
 			if h.down {
 				want = roster.Dead
 			}
-			wrong += len(f.disagreeing(h, want))
+			for _, other := range f.disagreeing(h, want) {
+				wrong++
+				example = fmt.Sprintf("%s thinks %s %s, want %s", other.addr, h.addr, stateAt(other, h), want)
+			}
 		}
 		if wrong == 0 {
 			return
 		}
 		f.run(member.TickEvery)
 	}
-	f.t.Fatalf("%d wrong records after %s", wrong, within)
+	f.t.Fatalf("%d wrong records after %s: %s", wrong, within, example)
 }
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -15,7 +15,7 @@
 
 const (
 	// HeartbeatEvery is the time between two heartbeats.
-	HeartbeatEvery = time.Second
+	HeartbeatEvery = roster.Beat
 
 	// SuspectAfter is how long a member may be silent before it is probed.
 	SuspectAfter = 1500 * time.Millisecond
@@ -31,13 +31,6 @@
 	// past, as those that cross a split once it has healed.
 	ConfirmStaleAfter = 30 * time.Second
 
-	// ForgetAfter is how long a dead agent is remembered.
-	ForgetAfter = 10 * time.Minute
-
-	// ForgetBalancerAfter is how long a dead balancer is remembered and looked
-	// for: regions may lose each other for an hour and must find each other again.
-	ForgetBalancerAfter = 24 * time.Hour
-
 	// TickEvery is how often Tick must be called.
 	TickEvery = 100 * time.Millisecond
 
@@ -237,8 +230,7 @@
 		return
 	}
 	n.lastForget = now
-	n.roster.Forget(roster.Agent, now.Add(-ForgetAfter))
-	n.roster.Forget(roster.Balancer, now.Add(-ForgetBalancerAfter))
+	n.roster.Forget(now)
 }
 
 // resume gives every member a fresh start after this process was paused: their
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -78,6 +78,30 @@
 	Weight uint8 `cbor:"10,keyasint"`
 }
 
+const (
+	// Beat is the time that one sequence number stands for.
+	Beat = time.Second
+
+	// ForgetAgentAfter is how long after its last heartbeat a dead agent is remembered.
+	ForgetAgentAfter = 10 * time.Minute
+
+	// ForgetBalancerAfter is the same for a balancer, which is looked for that
+	// long: regions may lose each other for an hour and must find each other again.
+	ForgetBalancerAfter = 24 * time.Hour
+)
+
+// Forgettable reports whether the member has been dead for so long that it need
+// not be remembered. It goes by the member's own last heartbeat, so that all
+// forget at the same time and none reminds the others.
+func (m *Member) Forgettable(now time.Time) bool {
+	after := ForgetAgentAfter
+	if m.Role == Balancer {
+		after = ForgetBalancerAfter
+	}
+	last := time.UnixMilli(int64(m.Incarnation)).Add(time.Duration(m.Sequence) * Beat)
+	return m.State == Dead && now.Sub(last) > after
+}
+
 // MaxWeight is the weight of an agent whose upstream bears its full load.
 const MaxWeight = 100
 
@@ -146,13 +170,13 @@
 }
 
 // Merge takes a member if it is newer than what is known, and reports whether
-// anything changed. The death of an unknown member is nothing to remember.
+// anything changed. An unknown member whose death lies far back is nothing to remember.
 func (r *Roster) Merge(m Member, now time.Time) bool {
 	known, ok := r.members[m.Address]
 	if ok && !m.Newer(&known.member) {
 		return false
 	}
-	if !ok && m.State == Dead {
+	if !ok && m.Forgettable(now) {
 		return false
 	}
 
@@ -277,16 +301,17 @@
 	return e.learned
 }
 
-// Forget drops members of a role that have been dead since before a time.
-func (r *Roster) Forget(role Role, before time.Time) {
+// Forget drops the members that are dead for long.
+func (r *Roster) Forget(now time.Time) {
 	for address, e := range r.members {
-		if e.member.Role == role && e.member.State == Dead && e.learned.Before(before) {
-			delete(r.members, address)
-			delete(r.doubtful, address)
-			r.digest[bucket(address)] ^= e.member.hash()
-			delete(r.services[e.member.Service], address)
-			r.version++
+		if !e.member.Forgettable(now) {
+			continue
 		}
+		delete(r.members, address)
+		delete(r.doubtful, address)
+		r.digest[bucket(address)] ^= e.member.hash()
+		delete(r.services[e.member.Service], address)
+		r.version++
 	}
 }
 
