--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -373,11 +373,14 @@
 	return xxhash.Sum64(data[:])
 }
 
+// hash covers the address together with the content: hashed apart, equal
+// changes of two members would cancel out in a digest.
 func (m *Member) hash() uint64 {
-	var data [18]byte
+	var data [26]byte
 	binary.BigEndian.PutUint64(data[:], m.Incarnation)
 	binary.BigEndian.PutUint64(data[8:], m.Sequence)
 	data[16] = byte(m.State)
 	data[17] = m.Weight
-	return xxhash.Sum64(data[:]) ^ Hash(m.Address)*0x9e3779b97f4a7c15
+	binary.BigEndian.PutUint64(data[18:], Hash(m.Address))
+	return xxhash.Sum64(data[:])
 }
