Send answers of handed-on flows through the balancer, not through the agent that handed them on

Ruled out: full socket buffers (no receive errors counted) and the processors (20% idle). A handed-on datagram now carries its balancer.

--- a/internal/protocol/encap/encap.go
+++ b/internal/protocol/encap/encap.go
@@ -10,6 +10,7 @@
 //	bytes 6-21   caller's address, IPv4 mapped into IPv6
 //	bytes 22-23  caller's port
 //	6 each       IPv4 address and port of the further ranks
+//	6 bytes      the balancer's, in a Handed datagram only
 //	8 bytes      SipHash tag over all of the above
 //
 // The rest is the caller's datagram, which QUIC itself protects.
@@ -34,6 +35,8 @@
 	Forward Kind = 1
 	// Answer goes from an agent to a balancer, which relays it to the caller.
 	Answer Kind = 2
+	// Handed goes from an agent that may not take a flow to the next one.
+	Handed Kind = 4
 	// Control carries a sealed message; see package sealed.
 	Control Kind = 3
 )
@@ -43,7 +46,7 @@
 	MaxRanks = 3
 
 	// MaxHeader is the length of the longest header, in bytes.
-	MaxHeader = fixedLength + MaxRanks*rankLength + tagLength
+	MaxHeader = fixedLength + (MaxRanks+1)*rankLength + tagLength
 
 	fixedLength = 24
 	rankLength  = 6
@@ -77,6 +80,9 @@
 
 	// Count is the number of Ranks, at most MaxRanks.
 	Count int
+
+	// Balancer is where answers go. It is set in a Handed envelope only.
+	Balancer netip.AddrPort
 }
 
 // Codec seals and opens envelopes with the cluster's key.
@@ -100,9 +106,10 @@
 	dst = binary.BigEndian.AppendUint16(dst, e.Caller.Port())
 
 	for _, rank := range e.Ranks[:e.Count] {
-		address := rank.Addr().As4()
-		dst = append(dst, address[:]...)
-		dst = binary.BigEndian.AppendUint16(dst, rank.Port())
+		dst = appendRank(dst, rank)
+	}
+	if e.Kind == Handed {
+		dst = appendRank(dst, e.Balancer)
 	}
 
 	tag := siphash.Hash(c.k0, c.k1, dst[start:])
@@ -117,7 +124,7 @@
 	}
 
 	e := Envelope{Kind: Kind(datagram[0]), Count: int(datagram[1])}
-	if e.Kind != Forward && e.Kind != Answer {
+	if e.Kind != Forward && e.Kind != Answer && e.Kind != Handed {
 		return Envelope{}, nil, ErrKind
 	}
 	if e.Count > MaxRanks {
@@ -125,6 +132,9 @@
 	}
 
 	end := fixedLength + e.Count*rankLength
+	if e.Kind == Handed {
+		end += rankLength
+	}
 	if len(datagram) < end+tagLength {
 		return Envelope{}, nil, ErrTruncated
 	}
@@ -137,8 +147,20 @@
 	caller := netip.AddrFrom16([16]byte(datagram[6:22])).Unmap()
 	e.Caller = netip.AddrPortFrom(caller, binary.BigEndian.Uint16(datagram[22:]))
 	for i := range e.Count {
-		rank := datagram[fixedLength+i*rankLength:]
-		e.Ranks[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte(rank[:4])), binary.BigEndian.Uint16(rank[4:]))
+		e.Ranks[i] = rankAt(datagram[fixedLength+i*rankLength:])
+	}
+	if e.Kind == Handed {
+		e.Balancer = rankAt(datagram[end-rankLength:])
 	}
 	return e, datagram[end+tagLength:], nil
 }
+
+func appendRank(dst []byte, rank netip.AddrPort) []byte {
+	address := rank.Addr().Unmap().As4()
+	dst = append(dst, address[:]...)
+	return binary.BigEndian.AppendUint16(dst, rank.Port())
+}
+
+func rankAt(data []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(data[:4])), binary.BigEndian.Uint16(data[4:]))
+}
--- a/internal/protocol/encap/encap_test.go
+++ b/internal/protocol/encap/encap_test.go
@@ -36,7 +36,9 @@
 	six.Caller = netip.MustParseAddrPort("[2001:db8::1]:443")
 	plain := sample()
 	plain.Count, plain.Ranks = 0, [encap.MaxRanks]netip.AddrPort{}
-	tests := map[string]encap.Envelope{"two ranks": sample(), "IPv6 caller": six, "no ranks": plain}
+	handed := sample()
+	handed.Kind, handed.Balancer = encap.Handed, netip.MustParseAddrPort("192.0.2.9:7100")
+	tests := map[string]encap.Envelope{"handed on": handed, "two ranks": sample(), "IPv6 caller": six, "no ranks": plain}
 
 	codec := newCodec(1)
 	for name, want := range tests {
--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/quic-go/quic-go"
 
 	"github.com/coriandershift/coriandershift/internal/standin/fabric"
@@ -472,3 +473,23 @@
 		t.Errorf("a flow of another domain ended with %v", err)
 	}
 }
+
+func TestFullAgentHandsFlowsOn(t *testing.T) {
+	const connections = 4
+	agents := []http.Handler{http.HandlerFunc(greet), http.HandlerFunc(greet), http.HandlerFunc(greet)}
+	s := newSystemWith(t, conditions{limits: func(l *config.Limits) { l.Connections = connections }}, agents...)
+
+	for i := range connections * len(agents) {
+		client := s.client()
+		for range 3 {
+			if status, _, body := s.answer(client, s.request("GET", "/x", "", nil)); status != 200 || body != "hello" {
+				t.Errorf("flow %d got status %d, %q", i, status, body)
+			}
+		}
+	}
+	for _, p := range s.agents {
+		if lost := testutil.ToFloat64(p.metrics.Dropped.WithLabelValues("encapKind")); lost > 0 {
+			t.Errorf("%s was sent %.0f answers that are for balancers", p.address, lost)
+		}
+	}
+}
--- a/internal/transport/agent/conn.go
+++ b/internal/transport/agent/conn.go
@@ -148,7 +148,7 @@
 // accept returns the payload of a datagram for QUIC, or nil if there is none.
 func (c *packetConn) accept(from netip.AddrPort, datagram []byte) ([]byte, *callerAddr) {
 	e, payload, err := c.codec.Open(datagram)
-	if err != nil || e.Kind != encap.Forward {
+	if err != nil || e.Kind == encap.Answer {
 		c.drop(encapReason(err))
 		return nil, nil
 	}
@@ -164,11 +164,13 @@
 		return nil, nil
 	}
 
+	if e.Kind == encap.Forward {
+		e.Balancer = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	}
+	c.paths.note(e.Balancer, time.Now())
 	if packet.First && c.handsOn(&e, packet, payload) {
 		return nil, nil
 	}
-
-	c.paths.note(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), time.Now())
 	return payload, c.addrOf(&e)
 }
 
@@ -184,6 +186,7 @@
 	}
 
 	next := *e
+	next.Kind = encap.Handed
 	next.Count = copy(next.Ranks[:], e.Ranks[min(1, e.Count):e.Count])
 	if _, err := c.socket.WriteToUDPAddrPort(c.codec.Append(nil, &next, payload), d.To); err != nil {
 		c.drop("handOnNotSent")
