Tell the heartbeats of a process from those of its predecessor

A home that had not heard a restarted process buried it with the sequence of its predecessor, minutes ahead of anything the new one could refute it with.

--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -39,9 +39,9 @@
 		return []Send{{To: m.From.Address, Message: n.message(Ack)}}
 	}
 
-	known, ok := n.heard[m.From.Address]
-	if !ok || m.From.Sequence > known.sequence || m.Revision > known.revision || now.Sub(known.at) > SuspectAfter {
-		n.heard[m.From.Address] = contact{at: now, sequence: m.From.Sequence, revision: m.Revision}
+	c := contact{at: now, incarnation: m.From.Incarnation, sequence: m.From.Sequence, revision: m.Revision}
+	if c.replaces(n.heard[m.From.Address]) {
+		n.heard[m.From.Address] = c
 	}
 
 	n.learn(now, m.From)
@@ -183,7 +183,7 @@
 	}
 
 	c, ok := n.heard[claim.Address]
-	if !ok || c.sequence <= claim.Sequence {
+	if !ok || c.incarnation != claim.Incarnation || c.sequence <= claim.Sequence {
 		return false
 	}
 
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -80,9 +80,18 @@
 }
 
 type contact struct {
-	at       time.Time
-	sequence uint64
-	revision uint64
+	at          time.Time
+	incarnation uint64
+	sequence    uint64
+	revision    uint64
+}
+
+// replaces reports whether the contact is newer than one before.
+func (c contact) replaces(before contact) bool {
+	if c.incarnation != before.incarnation {
+		return c.incarnation > before.incarnation
+	}
+	return c.sequence > before.sequence || c.revision > before.revision
 }
 
 // New returns a Node for the process that self describes.
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -144,14 +144,35 @@
 }
 
 func TestRestartedMemberReplacesItself(t *testing.T) {
-	f := settled(t, 8, 4, 20)
+	pauses := map[string]time.Duration{"at once": 100 * time.Millisecond, "in a second": time.Second, "after its death is known": 2 * detect}
+	for name, pause := range pauses {
+		t.Run(name, func(t *testing.T) {
+			f := settled(t, 8, 4, 20)
+			h := f.nodes[10]
+			h.down = true
+			f.run(pause)
+			f.start(h)
+			f.mustAgree(detect)
+			for range 100 {
+				f.run(member.TickEvery)
+				if wrong := f.disagreeing(h, roster.Alive); len(wrong) > 0 {
+					t.Fatalf("%s takes a restarted member for %s", wrong[0].addr, stateAt(wrong[0], h))
+				}
+			}
+		})
+	}
+}
+
+func TestHomeThatMissesARestartDoesNotBuryTheNewProcess(t *testing.T) {
+	f := settled(t, 12, 4, 20)
+	f.run(time.Minute)
 	h := f.nodes[10]
-	h.down = true
-	f.run(time.Second)
+	home := homesOf(f, h)[0]
 	f.start(h)
+	f.cut = func(from, to *host) bool { return from == h && to == home }
+	f.run(2 * member.DeadAfter)
+	f.cut = func(_, _ *host) bool { return false }
 	f.mustAgree(detect)
-	f.run(detect)
-	f.mustAgree(0)
 }
 
 func TestQuietFleetRepairsNothing(t *testing.T) {
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"math/bits"
 	"net/netip"
 	"slices"
@@ -66,8 +67,8 @@
 	}
 
 	var sends []Send
-	for address, since := range n.watched {
-		c := n.heard[address]
+	for _, address := range slices.SortedFunc(maps.Keys(n.watched), netip.AddrPort.Compare) {
+		since, c := n.watched[address], n.heard[address]
 		silent := now.Sub(later(since, c.at))
 		if silent > DeadAfter {
 			n.bury(now, address, c)
@@ -85,7 +86,9 @@
 	if !ok || m.State == roster.Dead {
 		return
 	}
-	m.Sequence = max(m.Sequence, c.sequence)
+	if c.incarnation == m.Incarnation {
+		m.Sequence = max(m.Sequence, c.sequence)
+	}
 	m.State = roster.Dead
 	delete(n.heard, address)
 	n.merge(now, m)
@@ -110,15 +113,12 @@
 	n.revisionSends = max(0, n.revisionSends-1)
 
 	message := n.message(Push)
-	for address, left := range n.rumours {
-		if len(message.Members) == maxMembers {
-			break
-		}
+	for _, address := range n.freshest(maxMembers) {
 		if m, ok := n.roster.Get(address); ok {
 			message.Members = append(message.Members, m)
 		}
-		n.rumours[address] = left - 1
-		if left <= 1 {
+		n.rumours[address]--
+		if n.rumours[address] <= 0 {
 			delete(n.rumours, address)
 		}
 	}
@@ -130,6 +130,17 @@
 	return sends
 }
 
+// freshest returns the records that were pushed least, in an order that is the same in every run.
+func (n *Node) freshest(count int) []netip.AddrPort {
+	waiting := slices.SortedFunc(maps.Keys(n.rumours), func(a, b netip.AddrPort) int {
+		if n.rumours[a] != n.rumours[b] {
+			return n.rumours[b] - n.rumours[a]
+		}
+		return a.Compare(b)
+	})
+	return waiting[:min(count, len(waiting))]
+}
+
 func (n *Node) digest(now time.Time) []Send {
 	if now.Sub(n.lastDigest) < digestEvery {
 		return nil
