Notice an unannounced cold start sooner, and for each class by itself

Cause: service times of 25 ms where 5 are usual stayed under the threshold, which rested on a mean that busy moments raised and on a floor of 20 ms; failures (500) counted for nothing. An upstream that goes cold while more requests run than it then bears cannot be helped: they have started.

--- a/internal/state/gate/gate.go
+++ b/internal/state/gate/gate.go
@@ -49,6 +49,9 @@
 	// ID is unique among the requests that the gate holds.
 	ID uint64
 
+	// Class names requests that take about the same time.
+	Class string
+
 	// Priority orders the queue: the lowest number goes first.
 	Priority int
 
@@ -67,6 +70,10 @@
 	// Cold says that the upstream showed a sign of a restart: it refused, reset or named a new instance.
 	Cold bool
 
+	// Failed says that the upstream answered that it could not serve the request.
+	// Two in a row are a sign of cold.
+	Failed bool
+
 	// Cancelled says that the caller left, so that Service means nothing.
 	Cancelled bool
 }
@@ -93,15 +100,11 @@
 const LeaveGrace = 1500 * time.Millisecond
 
 const (
-	slowFactor       = 3 // a service time over this multiple of the baseline is a sign of cold
-	healthyFactor    = 2 // one under this multiple lets the ramp grow
-	baselineWeight   = 0.1
-	baselineSamples  = 8 // service times before the baseline is trusted
 	slowRunOfCold    = 2 // slow answers in a row that mean cold
+	meanWeight       = 0.1
 	minRetryAfter    = time.Second
 	maxRetryAfter    = 30 * time.Second
-	slowFloor        = 20 * time.Millisecond // differences below this are noise
-	coldRestartGuard = time.Second           // a sign of cold again within this does not restart the ramp
+	coldRestartGuard = time.Second // a sign of cold again within this does not restart the ramp
 )
 
 // Gate admits the requests of one upstream. It is not safe for concurrent use.
@@ -115,14 +118,15 @@
 	queue   []Request
 	leaving time.Time // zero unless leaving
 
-	baseline time.Duration
-	samples  int
-	slowRun  int
-	healthy  int
+	baselines map[string]*baseline
+	mean      time.Duration // of all classes
+	slowRun   int
+	healthy   int
 }
 
 type running struct {
 	started time.Time
+	class   string
 }
 
 // New returns a Gate for an upstream that is cold.
@@ -134,6 +138,8 @@
 		chilled: now,
 		running: map[uint64]running{},
 		feeds:   map[uint64]bool{},
+
+		baselines: map[string]*baseline{},
 	}
 }
 
@@ -148,7 +154,7 @@
 	}
 
 	g.suspect(now)
-	if len(g.running) < g.limit && len(g.queue) == 0 {
+	if len(g.running) < g.Limit() && len(g.queue) == 0 {
 		return []Action{g.start(now, r)}
 	}
 	return g.enqueue(now, r)
@@ -161,12 +167,13 @@
 		return nil
 	}
 
-	if _, ok := g.running[id]; !ok {
+	r, ok := g.running[id]
+	if !ok {
 		return nil
 	}
 	delete(g.running, id)
 
-	g.learn(now, o)
+	g.learn(now, g.baselineOf(r.class), o)
 	return g.fill(now)
 }
 
@@ -216,8 +223,12 @@
 	g.limit = max(limits.ColdSlots, min(g.limit, limits.Slots))
 }
 
-// Limit returns how many requests may run at once now.
+// Limit returns how many requests may run at once now. After a slow answer it
+// is what a cold upstream bears until the next answer tells more.
 func (g *Gate) Limit() int {
+	if g.slowRun > 0 {
+		return g.limits.ColdSlots
+	}
 	return g.limit
 }
 
@@ -252,7 +263,7 @@
 		return 1
 	})
 
-	if now.Add(g.wait(place) + g.baseline).After(r.Deadline) {
+	if now.Add(g.wait(place) + g.usual(r.Class)).After(r.Deadline) {
 		return []Action{g.refuse(r, Deadline)}
 	}
 
@@ -283,7 +294,7 @@
 
 	var actions []Action
 	actions, g.queue = g.expire(now)
-	for len(g.queue) > 0 && len(g.running) < g.limit {
+	for len(g.queue) > 0 && len(g.running) < g.Limit() {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
 		actions = append(actions, g.start(now, next))
@@ -304,7 +315,7 @@
 	var actions []Action
 	kept := g.queue[:0:0]
 	for _, r := range g.queue {
-		if now.Add(g.baseline).After(r.Deadline) {
+		if now.Add(g.usual(r.Class)).After(r.Deadline) {
 			actions = append(actions, g.refuse(r, Deadline))
 			continue
 		}
@@ -314,7 +325,7 @@
 }
 
 func (g *Gate) start(now time.Time, r Request) Action {
-	g.running[r.ID] = running{started: now}
+	g.running[r.ID] = running{started: now, class: r.Class}
 	return Action{ID: r.ID, Verdict: Start}
 }
 
@@ -327,10 +338,10 @@
 
 // wait estimates how long a request at a place in the queue waits for a slot.
 func (g *Gate) wait(place int) time.Duration {
-	return g.baseline * time.Duration(place) / time.Duration(g.limit)
+	return g.mean * time.Duration(place) / time.Duration(g.limit)
 }
 
-func (g *Gate) learn(now time.Time, o Outcome) {
+func (g *Gate) learn(now time.Time, b *baseline, o Outcome) {
 	if o.Cancelled {
 		return
 	}
@@ -340,7 +351,7 @@
 		return
 	}
 
-	if g.slow(o.Service) {
+	if o.Failed || b.slow(o.Service) {
 		g.slowRun++
 		g.healthy = 0
 		if g.slowRun >= slowRunOfCold {
@@ -350,20 +361,25 @@
 	}
 
 	g.slowRun = 0
-	g.observe(o.Service)
+	b.observe(o.Service)
+	g.mean += time.Duration(meanWeight * float64(o.Service-g.mean))
+	if b.healthy(o.Service) {
+		g.healthy++
+	}
 }
 
-func (g *Gate) observe(service time.Duration) {
-	g.samples++
-	weight := max(baselineWeight, 1/float64(g.samples))
-	g.baseline += time.Duration(weight * float64(service-g.baseline))
-	if service <= healthyFactor*g.baseline+slowFloor {
-		g.healthy++
+func (g *Gate) baselineOf(class string) *baseline {
+	b, ok := g.baselines[class]
+	if !ok {
+		b = &baseline{}
+		g.baselines[class] = b
 	}
+	return b
 }
 
-func (g *Gate) slow(service time.Duration) bool {
-	return g.samples >= baselineSamples && service > slowFactor*g.baseline+slowFloor
+// usual returns the service time to expect of a class.
+func (g *Gate) usual(class string) time.Duration {
+	return g.baselineOf(class).usual
 }
 
 // suspect takes the upstream to be cold when running requests take too long,
@@ -397,13 +413,9 @@
 
 // overdue counts the running requests that have taken too long already.
 func (g *Gate) overdue(now time.Time) int {
-	if g.samples < baselineSamples {
-		return 0
-	}
-
 	count := 0
 	for _, r := range g.running {
-		if g.slow(now.Sub(r.started)) {
+		if g.baselineOf(r.class).slow(now.Sub(r.started)) {
 			count++
 		}
 	}
--- a/internal/state/gate/gate_test.go
+++ b/internal/state/gate/gate_test.go
@@ -16,7 +16,7 @@
 	limits = gate.Limits{Slots: 5, ColdSlots: 2, Feeds: 3, Queue: 4, WarmUp: 3 * time.Second}
 )
 
-const work = 10 * time.Millisecond
+const work = 5 * time.Millisecond
 
 func newGate() *gate.Gate {
 	return gate.New(limits, rand.New(rand.NewPCG(1, 1)), begin)
@@ -73,6 +73,13 @@
 func TestUnannouncedColdStartClosesTheGate(t *testing.T) {
 	tests := map[string]func(*upstream){
 		"two slow answers": func(u *upstream) { u.serve(2, 10*work) },
+		"two failures": func(u *upstream) {
+			for range 2 {
+				id, _ := u.arrive(1, time.Second)
+				u.gate.Finish(u.now, id, gate.Outcome{Service: work, Failed: true})
+			}
+		},
+		"short requests five times as slow": func(u *upstream) { u.serve(2, 5*work) },
 		"one refusal": func(u *upstream) {
 			id, _ := u.arrive(1, time.Second)
 			u.gate.Finish(u.now, id, gate.Outcome{Cold: true})
@@ -104,6 +111,44 @@
 	}
 }
 
+func TestOneSlowAnswerHoldsTheGateUntilTheNext(t *testing.T) {
+	u := warm(t)
+	u.serve(1, 10*work)
+	if u.gate.Limit() != limits.ColdSlots {
+		t.Errorf("limit is %d right after a slow answer, want %d", u.gate.Limit(), limits.ColdSlots)
+	}
+	u.serve(1, work)
+	if u.gate.Limit() != limits.Slots {
+		t.Errorf("limit is %d after the next one, want %d", u.gate.Limit(), limits.Slots)
+	}
+}
+
+func TestClassesHaveTheirOwnServiceTimes(t *testing.T) {
+	u := warm(t)
+	for range 20 {
+		u.next++
+		u.gate.Arrive(u.now, gate.Request{ID: u.next, Class: "report", Deadline: u.now.Add(time.Minute)})
+		u.now = u.now.Add(100 * work)
+		u.gate.Finish(u.now, u.next, gate.Outcome{Service: 100 * work})
+		u.serve(1, work)
+	}
+	if u.gate.Limit() != limits.Slots {
+		t.Errorf("limit is %d with a class that is slow by nature, want %d", u.gate.Limit(), limits.Slots)
+	}
+}
+
+func TestBusyMomentDoesNotHideAColdStart(t *testing.T) {
+	u := warm(t)
+	for range 20 {
+		u.serve(1, 2*work)
+		u.serve(2, work)
+	}
+	u.serve(2, 5*work)
+	if u.gate.Limit() != limits.ColdSlots {
+		t.Errorf("limit is %d, want %d", u.gate.Limit(), limits.ColdSlots)
+	}
+}
+
 func TestQueueKeepsTheFirstClassFirst(t *testing.T) {
 	u := warm(t)
 	var running []uint64
--- a/internal/transport/agent/handler.go
+++ b/internal/transport/agent/handler.go
@@ -192,6 +192,7 @@
 
 func (h *handler) admit(x *exchange) {
 	id, action, err := h.admission.admit(x.r.Context(), gate.Request{
+		Class:    x.class.Name,
 		Priority: x.class.Priority,
 		Feed:     x.class.Feed,
 		Deadline: x.deadline,
@@ -272,6 +273,7 @@
 		return
 	}
 	defer a.response.Body.Close()
+	outcome.Failed = a.response.StatusCode >= http.StatusInternalServerError
 
 	if x.class.Feed {
 		timer.Stop()
