--- a/cmd/standin/cmd_caller.go
+++ b/cmd/standin/cmd_caller.go
@@ -77,6 +77,7 @@
 	for _, line := range report.ByKind(time.Duration(callerArgs.Seconds) * time.Second) {
 		fmt.Fprintln(os.Stderr, line)
 	}
+	fmt.Fprintf(os.Stderr, "whole/refused/other in each second:%s\n", caller.Timeline(crowd.Results()))
 	fmt.Println(report.String())
 	if !report.OK() {
 		return errNotKept
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -113,6 +113,34 @@
 	return lines
 }
 
+// Timeline returns the requests that ended in each second, feeds left out, as whole/refused/other.
+func Timeline(results []Result) string {
+	var whole, refused, other []int
+	for _, result := range results {
+		if result.Kind == "feed" {
+			continue
+		}
+		second := int((result.Began + result.Took).Seconds())
+		for len(whole) <= second {
+			whole, refused, other = append(whole, 0), append(refused, 0), append(other, 0)
+		}
+		switch result.Verdict {
+		case Whole:
+			whole[second]++
+		case Refused:
+			refused[second]++
+		default:
+			other[second]++
+		}
+	}
+
+	var text strings.Builder
+	for i := range whole {
+		fmt.Fprintf(&text, " %d/%d/%d", whole[i], refused[i], other[i])
+	}
+	return text.String()
+}
+
 func (k *Kind) quantile(q float64) time.Duration {
 	if len(k.Took) == 0 {
 		return 0
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -50,6 +50,9 @@
 	log       *slog.Logger
 	balancers []*target
 	faults    Faults
+
+	mu       sync.Mutex
+	services []*service
 }
 
 type target struct {
@@ -79,6 +82,9 @@
 		}
 		_ = conn.SetReadBuffer(socketBuffer)
 		s := &service{fabric: f, address: address, conn: conn, callers: map[netip.AddrPort]*net.UDPConn{}}
+		f.mu.Lock()
+		f.services = append(f.services, s)
+		f.mu.Unlock()
 		go s.run()
 		go func() {
 			<-ctx.Done()
@@ -90,6 +96,21 @@
 	return nil
 }
 
+// Rebind gives every caller a new address towards the balancers, as a network
+// does that forgets its translations.
+func (f *Fabric) Rebind() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services {
+		s.mu.Lock()
+		for caller, conn := range s.callers {
+			conn.Close()
+			delete(s.callers, caller)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // send writes a datagram as the faults have it.
 func (f *Fabric) send(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
 	copies := 1
@@ -192,7 +213,9 @@
 func (s *service) answer(caller netip.AddrPort, conn *net.UDPConn) {
 	defer func() {
 		s.mu.Lock()
-		delete(s.callers, caller)
+		if s.callers[caller] == conn {
+			delete(s.callers, caller)
+		}
 		s.mu.Unlock()
 		conn.Close()
 	}()
--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/coriandershift/coriandershift/internal/standin/fabric"
 	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
 )
 
 // counting is an upstream that counts how often each key ran.
@@ -313,6 +314,11 @@
 	if status, _, body := s.answer(client, s.request("GET", "/x", "", nil)); status != 200 || body != "hello" {
 		t.Errorf("got status %d, %q", status, body)
 	}
+	for name, set := range map[string]*metric.Set{"balancer": s.balancers[0].metrics, "agent": s.agents[0].metrics} {
+		if testutil.CollectAndCount(set.Dropped) == 0 {
+			t.Errorf("the %s counted no reason for what it threw away", name)
+		}
+	}
 }
 
 func TestReplacedAgentResetsOldFlowsAtOnce(t *testing.T) {
@@ -396,6 +402,29 @@
 	callers.Wait()
 }
 
+func TestFlowSurvivesChangesOfTheCallersAddress(t *testing.T) {
+	lines := 40
+	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for i := range lines {
+			fmt.Fprintf(w, "task %d\n", i)
+			w.(http.Flusher).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}))
+	response, err := s.client().Do(s.request("GET", "/feeds/1", "", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		time.Sleep(500 * time.Millisecond)
+		s.fabric.Rebind()
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || strings.Count(string(body), "\n") != lines {
+		t.Errorf("the feed broke off: %d lines, %v", strings.Count(string(body), "\n"), err)
+	}
+}
+
 func TestFlowSurvivesEveryBalancerInTurn(t *testing.T) {
 	lines := 60
 	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/agent/system_test.go
+++ b/internal/transport/agent/system_test.go
@@ -58,6 +58,7 @@
 	balancers []*process
 	agents    []*process
 	upstreams []*httptest.Server
+	fabric    *fabric.Fabric
 	service   netip.AddrPort
 	store     *store.Client
 	public    setup.Certificate
@@ -131,9 +132,10 @@
 func (s *system) startFabric(behind []fabric.Balancer, faults fabric.Faults) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	s.fabric = fabric.New(quiet(), behind, faults)
 	go func() {
 		defer close(done)
-		if err := fabric.New(quiet(), behind, faults).Serve(ctx, []netip.AddrPort{s.service}); err != nil {
+		if err := s.fabric.Serve(ctx, []netip.AddrPort{s.service}); err != nil {
 			s.t.Error(err)
 		}
 	}()
