--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -40,7 +40,18 @@
 		c.runs[r.Header.Get("Idempotency-Key")]++
 		c.mu.Unlock()
 	}
-	c.then(w, r)
+
+	c.mu.Lock()
+	then := c.then
+	c.mu.Unlock()
+	then(w, r)
+}
+
+// become changes what the upstream does after it has counted.
+func (c *counting) become(then http.HandlerFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.then = then
 }
 
 func (c *counting) count(key string) int {
@@ -78,7 +89,7 @@
 			client := s.client()
 			s.answer(client, s.request("POST", "/submissions", "warm", strings.NewReader(body))) // leaves a connection behind
 
-			upstream.then = hangUp
+			upstream.become(hangUp)
 			status, outcome, _ := s.answer(client, s.request("POST", "/submissions", "k", strings.NewReader(body)))
 			if status != http.StatusBadGateway || outcome != "unknown" {
 				t.Errorf("got status %d, outcome %q; want 502, unknown", status, outcome)
@@ -87,7 +98,7 @@
 				t.Errorf("the submission ran %d times", runs)
 			}
 
-			upstream.then = greet
+			upstream.become(greet)
 			if status, _, _ := s.answer(client, s.request("POST", "/submissions", "k", strings.NewReader(body))); status != http.StatusConflict {
 				t.Errorf("a repeat after an unknown outcome got status %d, want 409", status)
 			}
