--- a/internal/protocol/encap/encap.go
+++ b/internal/protocol/encap/encap.go
@@ -155,6 +155,20 @@
 	return e, datagram[end+tagLength:], nil
 }
 
+// Reason names why a datagram was refused, for metrics: by the error of Open, or
+// by its kind if there was none.
+func Reason(err error) string {
+	switch {
+	case errors.Is(err, ErrTruncated):
+		return "encapTruncated"
+	case errors.Is(err, ErrForged):
+		return "encapForged"
+	case errors.Is(err, ErrRanks):
+		return "encapRanks"
+	}
+	return "encapKind"
+}
+
 func appendRank(dst []byte, rank netip.AddrPort) []byte {
 	address := rank.Addr().Unmap().As4()
 	dst = append(dst, address[:]...)
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -64,6 +64,17 @@
 	return Packet{Destination: datagram[1 : 1+connid.Length]}, nil
 }
 
+// Reason names why a packet was refused, for metrics, by the error of Parse.
+func Reason(err error) string {
+	switch {
+	case errors.Is(err, ErrTruncated):
+		return "quicTruncated"
+	case errors.Is(err, ErrIDLength):
+		return "quicIdLength"
+	}
+	return "notQuic"
+}
+
 func parseLong(datagram []byte) (Packet, error) {
 	if len(datagram) < minLong {
 		return Packet{}, ErrTruncated
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -19,6 +19,8 @@
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+
+	"github.com/coriandershift/coriandershift/internal/standin/certs"
 )
 
 const (
@@ -147,7 +149,7 @@
 // visit is one user from the first packet to the last.
 func (c *Crowd) visit(ctx context.Context, random *rand.Rand) {
 	transport := &http3.Transport{
-		TLSClientConfig: &tls.Config{RootCAs: c.options.Authority, ServerName: "public.coriandershift"},
+		TLSClientConfig: &tls.Config{RootCAs: c.options.Authority, ServerName: certs.PublicName},
 		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive},
 	}
 	defer transport.Close()
--- /dev/null
+++ b/internal/state/gate/learn.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"time"
+)
+
+func (g *Gate) learn(now time.Time, b *baseline, o Outcome) {
+	if o.Cancelled {
+		return
+	}
+
+	if o.Cold {
+		g.chillOnce(now)
+		return
+	}
+
+	if o.Failed || b.slow(o.Service) {
+		g.slowRun++
+		g.healthy = 0
+		if g.slowRun >= slowRunOfCold {
+			g.chillOnce(now)
+		}
+		return
+	}
+
+	g.slowRun = 0
+	b.observe(o.Service)
+	g.mean += time.Duration(meanWeight * float64(o.Service-g.mean))
+	if b.healthy(o.Service) {
+		g.healthy++
+	}
+}
+
+func (g *Gate) baselineOf(class string) *baseline {
+	b, ok := g.baselines[class]
+	if !ok {
+		b = &baseline{}
+		g.baselines[class] = b
+	}
+	return b
+}
+
+// usual returns the service time to expect of a class.
+func (g *Gate) usual(class string) time.Duration {
+	return g.baselineOf(class).usual
+}
+
+// suspect takes the upstream to be cold when running requests take too long,
+// without waiting for their ends.
+func (g *Gate) suspect(now time.Time) {
+	if g.limit > g.limits.ColdSlots && g.overdue(now)+g.slowRun >= slowRunOfCold {
+		g.chillOnce(now)
+	}
+}
+
+func (g *Gate) chillOnce(now time.Time) {
+	if g.limit == g.limits.ColdSlots && now.Sub(g.chilled) < coldRestartGuard {
+		g.healthy = 0
+		return
+	}
+	g.Chill(now)
+}
+
+// grow opens one slot more, after the cold time, once as many healthy answers
+// came in a row as there are slots.
+func (g *Gate) grow(now time.Time) {
+	if g.limit >= g.limits.Slots || now.Sub(g.chilled) < g.limits.WarmUp {
+		return
+	}
+
+	if g.healthy >= g.limit {
+		g.limit++
+		g.healthy = 0
+	}
+}
+
+// overdue counts the running requests that have taken too long already.
+func (g *Gate) overdue(now time.Time) int {
+	count := 0
+	for _, r := range g.running {
+		if g.baselineOf(r.class).slow(now.Sub(r.started)) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/transport/admin/admin_test.go
+++ b/internal/transport/admin/admin_test.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"log/slog"
-	"math/big"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -17,6 +12,7 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/commit"
+	"github.com/coriandershift/coriandershift/internal/standin/certs"
 	standin "github.com/coriandershift/coriandershift/internal/standin/store"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
@@ -239,28 +235,15 @@
 
 func newTLS(t *testing.T) *tls.Config {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	authority, err := certs.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{admin.PeerName}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	mutual, err := authority.Mutual(admin.PeerName)
 	if err != nil {
 		t.Fatal(err)
 	}
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(certificate)
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
-		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: admin.PeerName,
-	}
+	return mutual
 }
 
 func freeUDP(t *testing.T) netip.AddrPort {
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -5,11 +5,8 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/binary"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -245,51 +242,6 @@
 	a.link.SetWeight(uint8(share * roster.MaxWeight))
 }
 
-// startLeaving announces that no new work is taken and sends GOAWAY to open flows.
-func (a *Agent) startLeaving() {
-	a.link.Leave()
-	a.admission.leave()
-
-	a.mu.Lock()
-	old := a.server
-	a.server = a.newServer()
-	a.mu.Unlock()
-
-	go func() {
-		// Shutdown waits for flows that callers may keep open for as long as they like.
-		ctx, cancel := context.WithTimeout(context.Background(), drainBound(a.settings.Agent.Drain))
-		defer cancel()
-		_ = old.Shutdown(ctx)
-	}()
-}
-
-// leave stops gracefully: it returns once no request is open or the bound on draining is over.
-func (a *Agent) leave() {
-	a.log.Info("leaving", "open", a.admission.open())
-	if a.leaving.CompareAndSwap(false, true) {
-		a.startLeaving()
-	}
-
-	deadline := time.Now().Add(drainBound(a.settings.Agent.Drain))
-	for a.admission.open() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPoll)
-	}
-
-	if open := a.admission.open(); open > 0 {
-		a.log.Warn("requests cut by the bound on draining", "open", open)
-		a.metrics.Broken.WithLabelValues("drainBound").Add(float64(open))
-	}
-	time.Sleep(leaveLinger)
-}
-
-func drainBound(d setup.Duration) time.Duration {
-	const unbounded = 365 * 24 * time.Hour
-	if d == 0 {
-		return unbounded
-	}
-	return time.Duration(d)
-}
-
 func (a *Agent) newServer() *http3.Server {
 	return &http3.Server{Handler: a.handler}
 }
@@ -318,45 +270,3 @@
 	}
 	return s.Number
 }
-
-// generator makes connection IDs that lead every balancer back to this agent.
-type generator struct {
-	agent  *Agent
-	self   netip.AddrPort
-	domain string
-	nonce  atomic.Uint32
-}
-
-func newGenerator(a *Agent) *generator {
-	g := &generator{agent: a, self: a.settings.Address, domain: a.settings.Domain}
-	g.nonce.Store(rand.Uint32())
-	return g
-}
-
-// GenerateConnectionID returns a new connection ID.
-func (g *generator) GenerateConnectionID() (quic.ConnectionID, error) {
-	domain, known := g.agent.link.Config().Domain(g.domain)
-	if !known {
-		return quic.ConnectionID{}, errors.Errorf("failure domain %q is not configured", g.domain)
-	}
-
-	self := g.agent.link.Self()
-	id := g.agent.ids.Seal(connid.Target{
-		Domain:      domain.Number,
-		Service:     g.agent.serviceNumber(),
-		Agent:       g.self,
-		Incarnation: shortIncarnation(self.Incarnation),
-	}, g.nonce.Add(1))
-	return quic.ConnectionIDFromBytes(id[:]), nil
-}
-
-// ConnectionIDLen returns the length of the IDs, in bytes.
-func (g *generator) ConnectionIDLen() int {
-	return connid.Length
-}
-
-func shortIncarnation(incarnation uint64) uint16 {
-	var data [8]byte
-	binary.BigEndian.PutUint64(data[:], incarnation*0x9e3779b97f4a7c15)
-	return binary.BigEndian.Uint16(data[:])
-}
--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,7 +11,6 @@
 	"net/netip"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,49 +22,6 @@
 	"github.com/coriandershift/coriandershift/internal/transport/metric"
 )
 
-// counting is an upstream that counts how often each key ran.
-type counting struct {
-	mu   sync.Mutex
-	runs map[string]int
-	then http.HandlerFunc
-}
-
-func (c *counting) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err == nil {
-		c.mu.Lock()
-		if c.runs == nil {
-			c.runs = map[string]int{}
-		}
-		c.runs[r.Header.Get("Idempotency-Key")]++
-		c.mu.Unlock()
-	}
-
-	c.mu.Lock()
-	then := c.then
-	c.mu.Unlock()
-	then(w, r)
-}
-
-// become changes what the upstream does after it has counted.
-func (c *counting) become(then http.HandlerFunc) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.then = then
-}
-
-func (c *counting) count(key string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.runs[key]
-}
-
-func hangUp(w http.ResponseWriter, _ *http.Request) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err == nil {
-		conn.Close()
-	}
-}
-
 func greet(w http.ResponseWriter, _ *http.Request) {
 	fmt.Fprint(w, "hello")
 }
@@ -80,91 +35,6 @@
 	}
 }
 
-func TestSubmissionRunsAtMostOnce(t *testing.T) {
-	bodies := map[string]string{"with a body": "signed", "without a body": ""}
-	for name, body := range bodies {
-		t.Run(name, func(t *testing.T) {
-			upstream := &counting{then: greet}
-			s := newSystem(t, upstream)
-			client := s.client()
-			s.answer(client, s.request("POST", "/submissions", "warm", strings.NewReader(body))) // leaves a connection behind
-
-			upstream.become(hangUp)
-			status, outcome, _ := s.answer(client, s.request("POST", "/submissions", "k", strings.NewReader(body)))
-			if status != http.StatusBadGateway || outcome != "unknown" {
-				t.Errorf("got status %d, outcome %q; want 502, unknown", status, outcome)
-			}
-			if runs := upstream.count("k"); runs != 1 {
-				t.Errorf("the submission ran %d times", runs)
-			}
-
-			upstream.become(greet)
-			if status, _, _ := s.answer(client, s.request("POST", "/submissions", "k", strings.NewReader(body))); status != http.StatusConflict {
-				t.Errorf("a repeat after an unknown outcome got status %d, want 409", status)
-			}
-			if runs := upstream.count("k"); runs != 1 {
-				t.Errorf("the submission ran %d times after it was sent again", runs)
-			}
-		})
-	}
-}
-
-func TestRepeatGetsTheFirstAnswer(t *testing.T) {
-	var serial atomic.Int32
-	upstream := &counting{then: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "claim %d", serial.Add(1)) }}
-	s := newSystem(t, upstream)
-	client := s.client()
-	for range 3 {
-		if _, _, body := s.answer(client, s.request("POST", "/breakdowns", "k", strings.NewReader("x"))); body != "claim 1" {
-			t.Errorf("got %q, want the first claim number", body)
-		}
-	}
-	if runs := upstream.count("k"); runs != 1 {
-		t.Errorf("the report ran %d times", runs)
-	}
-}
-
-func TestRepeatThroughAnotherAgentRunsOnce(t *testing.T) {
-	var serial atomic.Int32
-	upstream := &counting{then: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "claim %d", serial.Add(1)) }}
-	s := newSystem(t, upstream, upstream, upstream)
-	s.waitForPeers(3)
-
-	for i := range 12 { // each flow goes to an agent by chance
-		status, _, body := s.answer(s.client(), s.request("POST", "/breakdowns", "k", strings.NewReader("x")))
-		if i == 0 && body != "claim 1" || i > 0 && body != "claim 1" && status != http.StatusConflict {
-			t.Errorf("request %d got status %d, %q", i, status, body)
-		}
-	}
-	if runs := upstream.count("k"); runs != 1 {
-		t.Errorf("the report ran %d times", runs)
-	}
-}
-
-func TestRepeatsAtOnceRunOnce(t *testing.T) {
-	upstream := &counting{then: func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(50 * time.Millisecond)
-		greet(w, r)
-	}}
-	s := newSystem(t, upstream, upstream, upstream)
-	s.waitForPeers(3)
-
-	var callers sync.WaitGroup
-	var whole atomic.Int32
-	for range 9 {
-		client := s.client()
-		callers.Go(func() {
-			if status, _, _ := s.answer(client, s.request("POST", "/breakdowns", "k", strings.NewReader("x"))); status == 200 {
-				whole.Add(1)
-			}
-		})
-	}
-	callers.Wait()
-	if runs := upstream.count("k"); runs != 1 || whole.Load() == 0 {
-		t.Errorf("the report ran %d times, %d callers have its answer", runs, whole.Load())
-	}
-}
-
 func TestFullAgentPassesOn(t *testing.T) {
 	release, begun := make(chan struct{}), make(chan struct{}, 1)
 	blocked := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -201,17 +71,6 @@
 	}
 }
 
-func TestUnreachableUpstreamMeansNotRun(t *testing.T) {
-	s := newSystem(t, http.HandlerFunc(greet))
-	client := s.client()
-	s.answer(client, s.request("GET", "/x", "", nil))
-	s.upstreams[0].Close()
-	status, outcome, _ := s.answer(client, s.request("POST", "/submissions", "k", strings.NewReader("x")))
-	if status != http.StatusServiceUnavailable || outcome != "not-run" {
-		t.Errorf("got status %d, outcome %q; want 503, not-run", status, outcome)
-	}
-}
-
 func TestRequestsOfALostUpstreamGoToItsPeers(t *testing.T) {
 	s := newSystem(t, http.HandlerFunc(greet), http.HandlerFunc(greet))
 	s.waitForPeers(2)
@@ -229,77 +88,6 @@
 	}
 }
 
-func TestCutAnswerIsNotPassedOffAsWhole(t *testing.T) {
-	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", "1000")
-		_, _ = w.Write(make([]byte, 500))
-		w.(http.Flusher).Flush()
-		panic(http.ErrAbortHandler)
-	}))
-	response, err := s.client().Do(s.request("GET", "/reports/1", "", nil))
-	if err == nil {
-		_, err = io.ReadAll(response.Body)
-	}
-	if err == nil {
-		t.Error("a cut answer ended like a whole one")
-	}
-}
-
-func TestCutAnswerWithoutLengthIsNotPassedOffAsWhole(t *testing.T) {
-	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprint(w, "data: task 1 of 2\n")
-		w.(http.Flusher).Flush()
-		panic(http.ErrAbortHandler)
-	}))
-	response, err := s.client().Do(s.request("GET", "/feeds/1", "", nil))
-	if err == nil {
-		_, err = io.ReadAll(response.Body)
-	}
-	if err == nil {
-		t.Error("a cut feed ended like a whole one")
-	}
-}
-
-func TestLateAnswerIsSaidToBeUnknownAndCancelled(t *testing.T) {
-	cancelled := make(chan struct{})
-	s := newSystem(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		<-r.Context().Done()
-		close(cancelled)
-	}))
-	status, outcome, _ := s.answer(s.client(), s.request("GET", "/short", "", nil))
-	if status != http.StatusGatewayTimeout || outcome != "unknown" {
-		t.Errorf("got status %d, outcome %q; want 504, unknown", status, outcome)
-	}
-	select {
-	case <-cancelled:
-	case <-time.After(bound):
-		t.Error("the upstream was not told")
-	}
-}
-
-func TestCallerWhoLeavesCancelsTheRequest(t *testing.T) {
-	begun, cancelled := make(chan struct{}), make(chan struct{})
-	s := newSystem(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		close(begun)
-		<-r.Context().Done()
-		close(cancelled)
-	}))
-	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		<-begun
-		cancel()
-	}()
-	_, err := s.client().Do(s.request("GET", "/x", "", nil).WithContext(ctx))
-	if !errors.Is(err, context.Canceled) {
-		t.Errorf("got %v", err)
-	}
-	select {
-	case <-cancelled:
-	case <-time.After(bound):
-		t.Error("the upstream was not told")
-	}
-}
-
 func TestBadDatagramsChangeNothing(t *testing.T) {
 	s := newSystem(t, http.HandlerFunc(greet))
 	client := s.client()
--- a/internal/transport/agent/conn.go
+++ b/internal/transport/agent/conn.go
@@ -149,7 +149,7 @@
 func (c *packetConn) accept(from netip.AddrPort, datagram []byte) ([]byte, *callerAddr) {
 	e, payload, err := c.codec.Open(datagram)
 	if err != nil || e.Kind == encap.Answer {
-		c.drop(encapReason(err))
+		c.drop(encap.Reason(err))
 		return nil, nil
 	}
 
@@ -160,7 +160,7 @@
 
 	packet, err := header.Parse(payload)
 	if err != nil {
-		c.drop("notQuic")
+		c.drop(header.Reason(err))
 		return nil, nil
 	}
 
@@ -209,15 +209,3 @@
 func (c *packetConn) drop(reason string) {
 	c.metrics.Dropped.WithLabelValues(reason).Inc()
 }
-
-func encapReason(err error) string {
-	switch {
-	case errors.Is(err, encap.ErrTruncated):
-		return "encapTruncated"
-	case errors.Is(err, encap.ErrForged):
-		return "encapForged"
-	case errors.Is(err, encap.ErrRanks):
-		return "encapRanks"
-	}
-	return "encapKind"
-}
--- a/internal/transport/agent/system_test.go
+++ b/internal/transport/agent/system_test.go
@@ -3,20 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
 	"io"
 	"log/slog"
-	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
@@ -25,6 +19,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/coriandershift/coriandershift/internal/standin/certs"
 	"github.com/coriandershift/coriandershift/internal/standin/fabric"
 	standin "github.com/coriandershift/coriandershift/internal/standin/store"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -32,6 +27,7 @@
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/admin"
 	"github.com/coriandershift/coriandershift/internal/transport/agent"
 	"github.com/coriandershift/coriandershift/internal/transport/edge"
 	"github.com/coriandershift/coriandershift/internal/transport/link"
@@ -39,12 +35,8 @@
 	"github.com/coriandershift/coriandershift/internal/transport/store"
 )
 
-const (
-	serverName = "public.coriandershift"
-
-	// bound is how long polls wait before a test fails.
-	bound = 20 * time.Second
-)
+// bound is how long polls wait before a test fails.
+const bound = 20 * time.Second
 
 var keys = keyset.Set{
 	ConnectionIDs: map[uint8][]byte{0: bytes.Repeat([]byte{1}, keyset.KeyLength)},
@@ -280,7 +272,7 @@
 // client returns an HTTP client with a flow of its own.
 func (s *system) client() *http.Client {
 	transport := &http3.Transport{
-		TLSClientConfig: &tls.Config{RootCAs: s.roots, ServerName: serverName},
+		TLSClientConfig: &tls.Config{RootCAs: s.roots, ServerName: certs.PublicName},
 		QUICConfig:      &quic.Config{MaxIdleTimeout: 10 * time.Second, KeepAlivePeriod: time.Second},
 	}
 	s.t.Cleanup(func() { transport.Close() })
@@ -315,43 +307,23 @@
 }
 
 func (s *system) makeCertificate() {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{serverName}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	authority, err := certs.New()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	pair, err := authority.Issue(certs.PublicName)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-
 	dir := s.t.TempDir()
-	s.public = setup.Certificate{CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem")}
-	cert := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
-	s.write(s.public.CertFile, cert)
-	s.write(s.public.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}))
-	s.roots = x509.NewCertPool()
-	s.roots.AppendCertsFromPEM(cert)
-
-	pair, err := tls.LoadX509KeyPair(s.public.CertFile, s.public.KeyFile)
-	if err != nil {
+	if err := certs.WritePair(dir, "public", pair); err != nil {
 		s.t.Fatal(err)
 	}
-	s.peers = &tls.Config{
-		Certificates: []tls.Certificate{pair}, RootCAs: s.roots, ClientCAs: s.roots,
-		ClientAuth: tls.RequireAndVerifyClientCert, ServerName: serverName,
-	}
-}
+	s.public = setup.Certificate{CertFile: filepath.Join(dir, "public.pem"), KeyFile: filepath.Join(dir, "public.key")}
+	s.roots = authority.Pool()
 
-func (s *system) write(path string, data []byte) {
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	s.peers, err = authority.Mutual(admin.PeerName)
+	if err != nil {
 		s.t.Fatal(err)
 	}
 }
--- a/internal/transport/relay/back.go
+++ b/internal/transport/relay/back.go
@@ -5,7 +5,6 @@
 	"golang.org/x/net/ipv4"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/encap"
-	"github.com/coriandershift/coriandershift/internal/protocol/header"
 )
 
 // readAgents moves datagrams from agents to callers, and hands control
@@ -35,7 +34,7 @@
 
 	e, payload, err := r.codec.Open(datagram)
 	if err != nil || e.Kind != encap.Answer {
-		r.counters.drop(encapReason(err))
+		r.counters.drop(encap.Reason(err))
 		return
 	}
 
@@ -48,25 +47,3 @@
 	out.to(f.batch).add(e.Caller, payload)
 	r.counters.answered()
 }
-
-func encapReason(err error) string {
-	switch {
-	case errors.Is(err, encap.ErrTruncated):
-		return "encapTruncated"
-	case errors.Is(err, encap.ErrForged):
-		return "encapForged"
-	case errors.Is(err, encap.ErrRanks):
-		return "encapRanks"
-	}
-	return "encapKind"
-}
-
-func parseReason(err error) string {
-	switch {
-	case errors.Is(err, header.ErrTruncated):
-		return "quicTruncated"
-	case errors.Is(err, header.ErrIDLength):
-		return "quicIdLength"
-	}
-	return "notQuic"
-}
--- a/internal/transport/relay/front.go
+++ b/internal/transport/relay/front.go
@@ -48,7 +48,7 @@
 func (r *Relay) fromCaller(f *front, out *outgoing, caller netip.AddrPort, datagram []byte) {
 	packet, err := header.Parse(datagram)
 	if err != nil {
-		r.counters.drop(parseReason(err))
+		r.counters.drop(header.Reason(err))
 		return
 	}
 
