--- a/cmd/standin/cmd_caller.go
+++ b/cmd/standin/cmd_caller.go
@@ -55,7 +55,7 @@
 	pool := x509.NewCertPool()
 	pool.AppendCertsFromPEM(authority)
 
-	crowd := caller.New(caller.Options{
+	generator := caller.New(caller.Options{
 		Services:  services,
 		Authority: pool,
 		Users:     callerArgs.Users,
@@ -63,21 +63,21 @@
 		Download:  callerArgs.Download,
 		Seed:      callerArgs.Seed,
 	})
-	runCrowd(crowd)
+	runGenerator(generator)
 
 	stats, err := readStats(callerArgs.Upstreams)
 	if err != nil {
 		return err
 	}
 
-	report := caller.NewReport(crowd.Results(), stats, callerArgs.Out)
+	report := caller.NewReport(generator.Results(), stats, callerArgs.Out)
 	for _, line := range report.Failures() {
 		fmt.Fprintln(os.Stderr, line)
 	}
 	for _, line := range report.ByKind(time.Duration(callerArgs.Seconds) * time.Second) {
 		fmt.Fprintln(os.Stderr, line)
 	}
-	fmt.Fprintf(os.Stderr, "whole/refused/other in each second:%s\n", caller.Timeline(crowd.Results()))
+	fmt.Fprintf(os.Stderr, "whole/refused/other in each second:%s\n", caller.Timeline(generator.Results()))
 	fmt.Println(report.String())
 	if !report.OK() {
 		return errNotKept
@@ -85,13 +85,13 @@
 	return nil
 }
 
-func runCrowd(crowd *caller.Crowd) {
+func runGenerator(generator *caller.Generator) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(callerArgs.Seconds)*time.Second)
 	defer cancel()
 
 	done := make(chan struct{})
 	go func() {
-		crowd.Run(ctx)
+		generator.Run(ctx)
 		close(done)
 	}()
 
@@ -103,7 +103,7 @@
 		case <-done:
 			return
 		case <-ticker.C:
-			fmt.Fprintf(os.Stderr, "%3.0fs requests=%d\n", time.Since(started).Seconds(), len(crowd.Results()))
+			fmt.Fprintf(os.Stderr, "%3.0fs requests=%d\n", time.Since(started).Seconds(), len(generator.Results()))
 		}
 	}
 }
--- a/internal/coordination/flight/flight_test.go
+++ b/internal/coordination/flight/flight_test.go
@@ -45,7 +45,7 @@
 				t.Errorf("got %v, want %v as for the first datagram", got, want)
 			}
 			if got := table.Decide(begin.Add(flight.HandshakeTime), id, ranks, !first); got == want {
-				t.Error("the decision outlived the handshake")
+				t.Error("the decision refutesClaim the handshake")
 			}
 		})
 	}
--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -25,7 +25,7 @@
 	random  *rand.Rand
 	nodes   []*host
 	byAddr  map[netip.AddrPort]*host
-	waiting letters
+	waiting deliveries
 	order   int
 
 	// cut reports whether a message is lost.
@@ -51,7 +51,7 @@
 	inbox   []member.Message
 }
 
-type letter struct {
+type delivery struct {
 	at      time.Time
 	order   int
 	from    *host
@@ -59,18 +59,18 @@
 	message member.Message
 }
 
-type letters []letter
+type deliveries []delivery
 
-func (l letters) Len() int { return len(l) }
-func (l letters) Less(i, j int) bool {
+func (l deliveries) Len() int { return len(l) }
+func (l deliveries) Less(i, j int) bool {
 	if l[i].at.Equal(l[j].at) {
 		return l[i].order < l[j].order
 	}
 	return l[i].at.Before(l[j].at)
 }
-func (l letters) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
-func (l *letters) Push(x any)   { *l = append(*l, x.(letter)) }
-func (l *letters) Pop() any {
+func (l deliveries) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *deliveries) Push(x any)   { *l = append(*l, x.(delivery)) }
+func (l *deliveries) Pop() any {
 	old := *l
 	last := old[len(old)-1]
 	*l = old[:len(old)-1]
@@ -143,7 +143,7 @@
 
 func (f *fleet) deliver(until time.Time) {
 	for len(f.waiting) > 0 && !f.waiting[0].at.After(until) {
-		l := heap.Pop(&f.waiting).(letter)
+		l := heap.Pop(&f.waiting).(delivery)
 		switch {
 		case l.to.down:
 		case l.to.paused:
@@ -169,7 +169,7 @@
 		}
 		f.order++
 		at := f.now.Add(oneWay + time.Duration(f.random.Int64N(int64(oneWay))))
-		heap.Push(&f.waiting, letter{at: at, order: f.order, from: from, to: to, message: s.Message})
+		heap.Push(&f.waiting, delivery{at: at, order: f.order, from: from, to: to, message: s.Message})
 	}
 }
 
--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -136,27 +136,27 @@
 			n.refute(now, member)
 			continue
 		}
-		if n.outlived(member) {
+		if n.refutesClaim(member) {
 			continue
 		}
 		n.mergeClaim(now, member)
 	}
 }
 
-// mergeClaim takes a record that came from another member. A death in it is in doubt at first.
+// mergeClaim takes a record that came from another member. A death in it is only suspected at first.
 func (n *Node) mergeClaim(now time.Time, claim roster.Member) {
 	known, ok := n.roster.Get(claim.Address)
-	kind, until := n.doubtOf(now, claim, known)
+	kind, until := n.suspicionOf(now, claim, known)
 	if !n.merge(now, claim) || !ok || claim.State != roster.Dead || known.State == roster.Dead {
 		return
 	}
-	n.roster.Suspend(claim.Address, kind, until)
+	n.roster.Suspect(claim.Address, kind, until)
 }
 
-// doubtOf returns how far to doubt a claim of death. A living member's sequence
+// suspicionOf returns how far a claim of death is to be believed. A living member's sequence
 // grows with every heartbeat; a claim that lags far behind what it must have
 // reached by now tells of a time when the member could not be heard from there.
-func (n *Node) doubtOf(now time.Time, claim, known roster.Member) (roster.Doubt, time.Time) {
+func (n *Node) suspicionOf(now time.Time, claim, known roster.Member) (roster.Suspicion, time.Time) {
 	passed := now.Sub(n.roster.Learned(claim.Address)) / HeartbeatEvery
 	reached := known.Sequence + uint64(max(0, passed))
 	if claim.Incarnation == known.Incarnation && claim.Sequence+staleBeats < reached {
@@ -178,9 +178,9 @@
 	n.announce()
 }
 
-// outlived reports whether a claim of death is older than a heartbeat heard
+// refutesClaim reports whether a claim of death is older than a heartbeat heard
 // here, and says so to the others.
-func (n *Node) outlived(claim roster.Member) bool {
+func (n *Node) refutesClaim(claim roster.Member) bool {
 	if claim.State != roster.Dead {
 		return false
 	}
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -34,10 +34,10 @@
 	// TickEvery is how often Tick must be called.
 	TickEvery = 100 * time.Millisecond
 
-	pushEvery   = 200 * time.Millisecond
-	digestEvery = 2 * time.Second
-	lookEvery   = 4 // digests, of which one goes to a balancer that is taken for dead
-	forgetEvery = time.Minute
+	pushEvery       = 200 * time.Millisecond
+	digestEvery     = 2 * time.Second
+	lostDigestEvery = 4 // digests, of which one goes to a balancer that is taken for dead
+	forgetEvery     = time.Minute
 
 	// staleBeats is by how many heartbeats a claim of death may lag behind
 	// what a living member must have reached.
@@ -123,7 +123,7 @@
 func (n *Node) Members() []roster.Member {
 	members := n.roster.Members()
 	for i := range members {
-		n.doubt(&members[i])
+		n.suspicion(&members[i])
 	}
 	return members
 }
@@ -136,14 +136,14 @@
 		if !ok {
 			continue
 		}
-		n.doubt(&m)
+		n.suspicion(&m)
 		members = append(members, m)
 	}
 	return members
 }
 
-func (n *Node) doubt(m *roster.Member) {
-	switch n.roster.Doubt(m.Address) {
+func (n *Node) suspicion(m *roster.Member) {
+	switch n.roster.Suspicion(m.Address) {
 	case roster.Unconfirmed:
 		m.State = roster.Leaving
 	case roster.Stale:
@@ -226,7 +226,7 @@
 	}
 
 	n.watch(now)
-	sends = append(sends, n.judge(now)...)
+	sends = append(sends, n.detectFailures(now)...)
 	sends = append(sends, n.push(now)...)
 	sends = append(sends, n.digest(now)...)
 	n.roster.Confirm(now)
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-func TestPausedHomeBuriesNobody(t *testing.T) {
+func TestPausedHomeDeclaresNobodyDead(t *testing.T) {
 	f := settled(t, 4, 6, 30)
 	home := f.nodes[2]
 	home.paused = true
@@ -83,20 +83,20 @@
 	f.resume(home)
 	for _, h := range f.nodes {
 		if h != home && stateAt(home, h) == roster.Dead {
-			t.Errorf("%s was buried by a home that had been paused", h.addr)
+			t.Errorf("%s was declared dead by a home that had been paused", h.addr)
 		}
 	}
 	f.mustAgree(converge)
 }
 
-func TestCutOffBalancerBuriesNobody(t *testing.T) {
+func TestCutOffBalancerDeclaresNobodyDead(t *testing.T) {
 	f := settled(t, 5, 6, 30)
 	alone := f.nodes[4]
 	f.cut = func(from, to *host) bool { return from == alone || to == alone }
 	f.run(time.Minute)
 	for _, h := range f.nodes {
 		if stateAt(alone, h) == roster.Dead {
-			t.Errorf("%s was buried by a balancer that was cut off", h.addr)
+			t.Errorf("%s was declared dead by a balancer that was cut off", h.addr)
 		}
 	}
 
@@ -163,7 +163,7 @@
 	}
 }
 
-func TestHomeThatMissesARestartDoesNotBuryTheNewProcess(t *testing.T) {
+func TestHomeThatMissesARestartDoesNotDeclareTheNewProcessDead(t *testing.T) {
 	f := settled(t, 12, 4, 20)
 	f.run(time.Minute)
 	h := f.nodes[10]
--- a/internal/coordination/member/soak_test.go
+++ b/internal/coordination/member/soak_test.go
@@ -46,9 +46,9 @@
 	f.run(20 * time.Second)
 
 	for range soakSteps {
-		f.strike(f.nodes[f.random.IntN(len(f.nodes))])
+		f.injectFault(f.nodes[f.random.IntN(len(f.nodes))])
 		f.run(time.Duration(f.random.IntN(4000)) * time.Millisecond)
-		f.mustNotGiveUpTheUntouched()
+		f.mustKeepUntouched()
 	}
 
 	f.cut = func(_, _ *host) bool { return false }
@@ -60,8 +60,8 @@
 	f.mustAgree(soakHeal)
 }
 
-// strike makes one thing happen to a host or to the network.
-func (f *fleet) strike(h *host) {
+// injectFault makes one thing happen to a host or to the network.
+func (f *fleet) injectFault(h *host) {
 	up := !h.down && !h.paused
 	switch f.random.IntN(8) {
 	case 0:
@@ -105,8 +105,8 @@
 	return count
 }
 
-// mustNotGiveUpTheUntouched fails if a balancer takes a host for dead, beyond doubt, that nothing has befallen.
-func (f *fleet) mustNotGiveUpTheUntouched() {
+// mustKeepUntouched fails if a balancer takes a host for dead, beyond suspicion, though no fault has touched it.
+func (f *fleet) mustKeepUntouched() {
 	f.t.Helper()
 	for _, h := range f.nodes {
 		if h.role != roster.Balancer || h.down || h.paused {
--- /dev/null
+++ b/internal/coordination/member/spread.go
@@ -0,0 +1,113 @@
+package member
+
+import (
+	"maps"
+	"math/bits"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+// spread queues a record to be pushed a number of times that grows with the logarithm of the fleet.
+func (n *Node) spread(address netip.AddrPort) {
+	n.rumours[address] = n.sendsOfRecord()
+}
+
+// sendsOfRecord returns in how many pushes news goes out.
+func (n *Node) sendsOfRecord() int {
+	sends := bits.Len(uint(len(n.ring)+1)) + extraSpread
+	return (sends + fanout - 1) / fanout
+}
+
+func (n *Node) push(now time.Time) []Send {
+	if len(n.rumours)+n.revisionSends == 0 || now.Sub(n.lastPush) < pushEvery {
+		return nil
+	}
+	n.lastPush = now
+
+	message := n.message(Push)
+	if n.revisionSends == 0 {
+		message.shorten() // the admin address is of use with a newer configuration only
+	}
+	for _, address := range n.freshest(maxMembers) {
+		if m, ok := n.roster.Get(address); ok {
+			message.Members = append(message.Members, m)
+		}
+		n.rumours[address]--
+		if n.rumours[address] <= 0 {
+			delete(n.rumours, address)
+		}
+	}
+
+	n.revisionSends = max(0, n.revisionSends-1)
+
+	var sends []Send
+	for _, to := range n.peers(fanout) {
+		sends = append(sends, Send{To: to, Message: message})
+	}
+	return sends
+}
+
+// freshest returns the records that were pushed least, in an order that is the same in every run.
+func (n *Node) freshest(count int) []netip.AddrPort {
+	waiting := slices.SortedFunc(maps.Keys(n.rumours), func(a, b netip.AddrPort) int {
+		if n.rumours[a] != n.rumours[b] {
+			return n.rumours[b] - n.rumours[a]
+		}
+		return a.Compare(b)
+	})
+	return waiting[:min(count, len(waiting))]
+}
+
+func (n *Node) digest(now time.Time) []Send {
+	if now.Sub(n.lastDigest) < digestEvery {
+		return nil
+	}
+	n.lastDigest = now
+
+	n.digests++
+	targets := n.peers(1)
+	if n.digests%lostDigestEvery == 0 {
+		targets = append(targets, n.lost()...)
+	}
+
+	var sends []Send
+	for _, to := range targets {
+		sends = append(sends, Send{To: to, Message: n.digestMessage(false)})
+	}
+	return sends
+}
+
+// lost returns one balancer that is taken for dead, at random: without it the
+// two sides of a split would never turn to each other again.
+func (n *Node) lost() []netip.AddrPort {
+	lost := n.roster.LostBalancers()
+	if len(lost) == 0 {
+		return nil
+	}
+	return []netip.AddrPort{lost[n.random.IntN(len(lost))]}
+}
+
+// peers returns up to count other balancers at random.
+func (n *Node) peers(count int) []netip.AddrPort {
+	others := len(n.ring)
+	if n.isOnRing() {
+		others--
+	}
+
+	var chosen []netip.AddrPort
+	for len(chosen) < min(count, others) {
+		address := n.ring[n.random.IntN(len(n.ring))].Address
+		if address != n.self.Address && !slices.Contains(chosen, address) {
+			chosen = append(chosen, address)
+		}
+	}
+	return chosen
+}
+
+func (n *Node) isOnRing() bool {
+	m, ok := n.roster.Get(n.self.Address)
+	return ok && m.State != roster.Dead
+}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -67,7 +67,7 @@
 	// Upstream is the one that answered, if one did.
 	Upstream string
 
-	// Began is when the request began, from the crowd's start.
+	// Began is when the request began, from the generator's start.
 	Began time.Duration
 	Took  time.Duration
 }
@@ -90,8 +90,8 @@
 	Seed uint64
 }
 
-// Crowd is the users. It is safe for concurrent use.
-type Crowd struct {
+// Generator makes the users' requests. It is safe for concurrent use.
+type Generator struct {
 	options Options
 	prefix  string
 	started time.Time
@@ -101,13 +101,13 @@
 	results []Result
 }
 
-// New returns a Crowd that has not come yet.
-func New(o Options) *Crowd {
-	return &Crowd{options: o, started: time.Now(), prefix: fmt.Sprintf("%x", rand.Uint64())}
+// New returns a Generator that has not started yet.
+func New(o Options) *Generator {
+	return &Generator{options: o, started: time.Now(), prefix: fmt.Sprintf("%x", rand.Uint64())}
 }
 
 // Run lets users come until the context ends, and returns once the last has left.
-func (c *Crowd) Run(ctx context.Context) {
+func (c *Generator) Run(ctx context.Context) {
 	if c.options.Rate > 0 {
 		c.runOpen(ctx)
 		return
@@ -118,7 +118,7 @@
 		random := rand.New(rand.NewPCG(c.options.Seed, uint64(i)))
 		users.Go(func() {
 			for ctx.Err() == nil {
-				c.visit(ctx, random)
+				c.session(ctx, random)
 			}
 		})
 	}
@@ -126,7 +126,7 @@
 }
 
 // runOpen lets users come at random times with a given rate.
-func (c *Crowd) runOpen(ctx context.Context) {
+func (c *Generator) runOpen(ctx context.Context) {
 	random := rand.New(rand.NewPCG(c.options.Seed, 0))
 	var users sync.WaitGroup
 	next := time.Now()
@@ -134,20 +134,20 @@
 		next = next.Add(time.Duration(random.ExpFloat64() / c.options.Rate * float64(time.Second)))
 		time.Sleep(time.Until(next))
 		own := rand.New(rand.NewPCG(c.options.Seed, i))
-		users.Go(func() { c.visit(context.WithoutCancel(ctx), own) })
+		users.Go(func() { c.session(context.WithoutCancel(ctx), own) })
 	}
 	users.Wait()
 }
 
 // Results returns the requests that have ended.
-func (c *Crowd) Results() []Result {
+func (c *Generator) Results() []Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]Result(nil), c.results...)
 }
 
-// visit is one user from the first packet to the last.
-func (c *Crowd) visit(ctx context.Context, random *rand.Rand) {
+// session is one user from the first packet to the last.
+func (c *Generator) session(ctx context.Context, random *rand.Rand) {
 	transport := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: c.options.Authority, ServerName: certs.PublicName},
 		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive},
@@ -173,7 +173,7 @@
 	}
 }
 
-func (c *Crowd) request(transport *http3.Transport, service Service, random *rand.Rand) Result {
+func (c *Generator) request(transport *http3.Transport, service Service, random *rand.Rand) Result {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 
@@ -188,7 +188,7 @@
 }
 
 // newRequest returns a request and what its answer must hold.
-func (c *Crowd) newRequest(ctx context.Context, service Service, id string, random *rand.Rand) (*http.Request, expectation) {
+func (c *Generator) newRequest(ctx context.Context, service Service, id string, random *rand.Rand) (*http.Request, expectation) {
 	base := "https://" + service.Address.String()
 	method, path, body := http.MethodGet, fmt.Sprintf("/reports/%s?bytes=%d", id, c.options.Download), ""
 	want := expectation{length: int64(c.options.Download)}
--- a/internal/standin/upstrm/upstrm.go
+++ b/internal/standin/upstrm/upstrm.go
@@ -101,8 +101,8 @@
 	return stats
 }
 
-// Chill makes the upstream cold again, without a word to anybody.
-func (u *Upstream) Chill() {
+// MarkCold makes the upstream cold again, without a word to anybody.
+func (u *Upstream) MarkCold() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.started = time.Now()
@@ -227,7 +227,7 @@
 }
 
 func (u *Upstream) postCold(http.ResponseWriter, *http.Request) {
-	u.Chill()
+	u.MarkCold()
 }
 
 func sleep(r *http.Request, d time.Duration) bool {
--- a/internal/state/gate/gate.go
+++ b/internal/state/gate/gate.go
@@ -22,14 +22,14 @@
 
 // Gate admits the requests of one upstream. It is not safe for concurrent use.
 type Gate struct {
-	limits  Limits
-	random  *rand.Rand
-	limit   int
-	chilled time.Time // when the upstream was last taken to be cold
-	running map[uint64]running
-	feeds   map[uint64]bool
-	queue   []Request
-	leaving time.Time // zero unless leaving
+	limits    Limits
+	random    *rand.Rand
+	limit     int
+	coldSince time.Time // when the upstream was last taken to be cold
+	running   map[uint64]running
+	feeds     map[uint64]bool
+	queue     []Request
+	leaving   time.Time // zero unless leaving
 
 	baselines map[string]*baseline
 	mean      time.Duration // of all classes
@@ -45,12 +45,12 @@
 // New returns a Gate for an upstream that is cold.
 func New(limits Limits, random *rand.Rand, now time.Time) *Gate {
 	return &Gate{
-		limits:  limits,
-		random:  random,
-		limit:   limits.ColdSlots,
-		chilled: now,
-		running: map[uint64]running{},
-		feeds:   map[uint64]bool{},
+		limits:    limits,
+		random:    random,
+		limit:     limits.ColdSlots,
+		coldSince: now,
+		running:   map[uint64]running{},
+		feeds:     map[uint64]bool{},
 
 		baselines: map[string]*baseline{},
 	}
@@ -115,13 +115,13 @@
 		return
 	}
 	g.leaving = time.Time{}
-	g.Chill(now)
+	g.MarkCold(now)
 }
 
-// Chill closes the ramp to what a cold upstream bears.
-func (g *Gate) Chill(now time.Time) {
+// MarkCold closes the ramp to what a cold upstream bears.
+func (g *Gate) MarkCold(now time.Time) {
 	g.limit = g.limits.ColdSlots
-	g.chilled = now
+	g.coldSince = now
 	g.healthy = 0
 	g.slowRun = 0
 }
--- a/internal/state/gate/gate_test.go
+++ b/internal/state/gate/gate_test.go
@@ -242,7 +242,7 @@
 
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.SampledFrom([]string{"arrive", "arrive", "finish", "cancel", "tick", "chill", "leave", "return"}).Draw(t, "event") {
+			switch rapid.SampledFrom([]string{"arrive", "arrive", "finish", "cancel", "tick", "mark cold", "leave", "return"}).Draw(t, "event") {
 			case "arrive":
 				next++
 				waiting[next] = true
@@ -268,8 +268,8 @@
 				}
 			case "tick":
 				take(g.Tick(now))
-			case "chill":
-				g.Chill(now)
+			case "mark cold":
+				g.MarkCold(now)
 			case "leave":
 				g.Leave(now)
 			case "return":
--- a/internal/state/gate/learn.go
+++ b/internal/state/gate/learn.go
@@ -10,7 +10,7 @@
 	}
 
 	if o.Cold {
-		g.chillOnce(now)
+		g.markColdOnce(now)
 		return
 	}
 
@@ -18,7 +18,7 @@
 		g.slowRun++
 		g.healthy = 0
 		if g.slowRun >= slowRunOfCold {
-			g.chillOnce(now)
+			g.markColdOnce(now)
 		}
 		return
 	}
@@ -49,22 +49,22 @@
 // without waiting for their ends.
 func (g *Gate) suspect(now time.Time) {
 	if g.limit > g.limits.ColdSlots && g.overdue(now)+g.slowRun >= slowRunOfCold {
-		g.chillOnce(now)
+		g.markColdOnce(now)
 	}
 }
 
-func (g *Gate) chillOnce(now time.Time) {
-	if g.limit == g.limits.ColdSlots && now.Sub(g.chilled) < coldRestartGuard {
+func (g *Gate) markColdOnce(now time.Time) {
+	if g.limit == g.limits.ColdSlots && now.Sub(g.coldSince) < coldRestartGuard {
 		g.healthy = 0
 		return
 	}
-	g.Chill(now)
+	g.MarkCold(now)
 }
 
 // grow opens one slot more, after the cold time, once as many healthy answers
 // came in a row as there are slots.
 func (g *Gate) grow(now time.Time) {
-	if g.limit >= g.limits.Slots || now.Sub(g.chilled) < g.limits.WarmUp {
+	if g.limit >= g.limits.Slots || now.Sub(g.coldSince) < g.limits.WarmUp {
 		return
 	}
 
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -14,12 +14,12 @@
 
 // Roster is a table of members. It is not safe for concurrent use.
 type Roster struct {
-	members   map[netip.AddrPort]*entry
-	version   uint64
-	balancers uint64
-	doubtful  map[netip.AddrPort]doubt
-	digest    [Buckets]uint64
-	services  map[string]map[netip.AddrPort]bool
+	members    map[netip.AddrPort]*entry
+	version    uint64
+	balancers  uint64
+	suspicions map[netip.AddrPort]suspicion
+	digest     [Buckets]uint64
+	services   map[string]map[netip.AddrPort]bool
 
 	// changed are the addresses of records that changed since TakeChanged.
 	changed map[netip.AddrPort]bool
@@ -33,10 +33,10 @@
 // New returns an empty Roster.
 func New() *Roster {
 	return &Roster{
-		members:  map[netip.AddrPort]*entry{},
-		doubtful: map[netip.AddrPort]doubt{},
-		services: map[string]map[netip.AddrPort]bool{},
-		changed:  map[netip.AddrPort]bool{},
+		members:    map[netip.AddrPort]*entry{},
+		suspicions: map[netip.AddrPort]suspicion{},
+		services:   map[string]map[netip.AddrPort]bool{},
+		changed:    map[netip.AddrPort]bool{},
 	}
 }
 
@@ -52,7 +52,7 @@
 	}
 
 	e := &entry{member: m, learned: now}
-	delete(r.doubtful, m.Address)
+	delete(r.suspicions, m.Address)
 	r.members[m.Address] = e
 	r.note(m.Address)
 	if ok {
@@ -157,7 +157,7 @@
 			continue
 		}
 		delete(r.members, address)
-		delete(r.doubtful, address)
+		delete(r.suspicions, address)
 		r.digest[bucket(address)] ^= e.member.hash()
 		delete(r.services[e.member.Service], address)
 		r.version++
--- a/internal/transport/agent/admission.go
+++ b/internal/transport/agent/admission.go
@@ -79,12 +79,12 @@
 	a.act(a.gate.Finish(time.Now(), id, o))
 }
 
-// chill closes the ramp to what a cold upstream bears.
-func (a *admission) chill() {
+// markCold closes the ramp to what a cold upstream bears.
+func (a *admission) markCold() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.gate != nil {
-		a.gate.Chill(time.Now())
+		a.gate.MarkCold(time.Now())
 	}
 }
 
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -231,7 +231,7 @@
 
 // upstreamOpened takes an upstream that takes connections again to be cold.
 func (a *Agent) upstreamOpened() {
-	a.admission.chill()
+	a.admission.markCold()
 }
 
 func (a *Agent) tellWeight() {
--- a/internal/transport/link/seed.go
+++ b/internal/transport/link/seed.go
@@ -20,10 +20,10 @@
 	var pause backoff
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		lonely := l.node.Isolated(time.Now())
+		isolated := l.node.Isolated(time.Now())
 		l.mu.Unlock()
 
-		if lonely {
+		if isolated {
 			l.readSeeds(ctx)
 			sleep(ctx, pause.next())
 			continue
