--- a/internal/state/setup/setup.go
+++ b/internal/state/setup/setup.go
@@ -113,10 +113,6 @@
 
 	s := &Settings{}
 	doc.checkFields(s)
-	if len(doc.faults) > 0 {
-		return nil, doc.err()
-	}
-
 	if err := json.Unmarshal(doc.standard, s); err != nil {
 		doc.addDecode(err)
 		return nil, doc.err()
--- a/internal/state/setup/setup_test.go
+++ b/internal/state/setup/setup_test.go
@@ -59,6 +59,7 @@
 		want     []string
 	}{
 		"unknown field":       {`"name"`, `"nmae"`, []string{"b.hujson:3: nmae: unknown field"}},
+		"several at once":     {`"name"`, `"store": "x", "nmae"`, []string{"b.hujson:3: nmae: unknown field", "store: stands twice", "name: must be set"}},
 		"unknown inner field": {`"admin"`, `"amdin"`, []string{"b.hujson:12: balancer.amdin: unknown field"}},
 		"field twice":         {`"domain": "south-1"`, `"name": "x"`, []string{"b.hujson:4: name: stands twice"}},
 		"missing field":       {`"name": "balancer-1",`, "", []string{"name: must be set"}},
--- a/internal/transport/admin/client.go
+++ b/internal/transport/admin/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -155,7 +156,7 @@
 
 	for _, k := range kinds {
 		if k.name == p.Kind {
-			return errors.WithMessage(k.err, p.Error)
+			return errors.WithMessage(k.err, strings.TrimSuffix(p.Error, ": "+k.err.Error()))
 		}
 	}
 	return errors.WithMessage(ErrFailed, p.Error)
