Tie idempotency keys to the caller and the path

Found by reading: two callers that chose the same key got one answer, the second one the first one's, against the promise that each gets the answer to their own request.

--- a/internal/transport/agent/exchange.go
+++ b/internal/transport/agent/exchange.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -65,16 +68,27 @@
 	now := time.Now()
 	x := &exchange{w: w, r: r, service: service, class: class, started: now}
 	x.deadline = now.Add(timeLeft(r, class.Timeout.Duration()))
-	if !safeMethod(r.Method) {
-		x.key = r.Header.Get(headerKey)
+	key := r.Header.Get(headerKey)
+	if key != "" && !safeMethod(r.Method) {
+		x.key = scopedKey(r, key)
 	}
-	if len(x.key) > maxKey {
+	if len(key) > maxKey {
 		notRun(w, http.StatusBadRequest, "idempotency key is too long", 0)
 		return nil, false
 	}
 	return x, true
 }
 
+// scopedKey ties an idempotency key to what it is used for and by whom, so that
+// nobody is given the answer to another caller's request.
+func scopedKey(r *http.Request, key string) string {
+	hash := sha256.New()
+	for _, part := range []string{r.Method, r.URL.Path, r.Header.Get("Authorization"), r.Header.Get("Cookie"), key} {
+		fmt.Fprintf(hash, "%d:%s", len(part), part)
+	}
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
 // timeLeft returns the time that the caller allows, at most that of the class.
 func timeLeft(r *http.Request, most time.Duration) time.Duration {
 	asked, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 64)
--- a/internal/transport/agent/outcome_test.go
+++ b/internal/transport/agent/outcome_test.go
@@ -100,6 +100,25 @@
 	}
 }
 
+func TestCallersDoNotShareKeys(t *testing.T) {
+	var serial atomic.Int32
+	upstream := &counting{then: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "claim %d", serial.Add(1)) }}
+	s := newSystem(t, upstream)
+	client := s.client()
+	seen := map[string]bool{}
+	for _, caller := range []string{"Bearer a", "Bearer b", ""} {
+		for _, path := range []string{"/breakdowns", "/breakdowns/other"} {
+			r := s.request("POST", path, "k", strings.NewReader("x"))
+			r.Header.Set("Authorization", caller)
+			_, _, body := s.answer(client, r)
+			if seen[body] {
+				t.Errorf("caller %q at %s got %q, another one's answer", caller, path, body)
+			}
+			seen[body] = true
+		}
+	}
+}
+
 func TestRepeatThroughAnotherAgentRunsOnce(t *testing.T) {
 	var serial atomic.Int32
 	upstream := &counting{then: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "claim %d", serial.Add(1)) }}
