--- a/cmd/coriandershiftd/cmd_agent.go
+++ b/cmd/coriandershiftd/cmd_agent.go
@@ -39,13 +39,14 @@
 
 	d.log.Info("agent started", "address", d.settings.Address, "service", d.settings.Agent.Service)
 	err = agent.New(agent.Options{
-		Settings: d.settings,
-		Keys:     d.keys,
-		IDs:      d.ids,
-		Link:     d.link,
-		Peers:    peers,
-		Log:      d.log,
-		Metrics:  d.metrics,
+		Settings:   d.settings,
+		Keys:       d.keys,
+		IDs:        d.ids,
+		Link:       d.link,
+		Peers:      peers,
+		Unverified: agent.DefaultUnverified,
+		Log:        d.log,
+		Metrics:    d.metrics,
 	}).Run(ctx)
 	d.log.Info("agent stopped")
 	return ignoreCancelled(err)
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+	"golang.org/x/time/rate"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/encap"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -27,6 +29,9 @@
 	"github.com/coriandershift/coriandershift/internal/transport/relay"
 )
 
+// DefaultUnverified is far above the new flows of one agent on a normal day.
+const DefaultUnverified rate.Limit = 200
+
 const (
 	idleTimeout = 30 * time.Second
 	keepAlive   = 5 * time.Second
@@ -40,16 +45,17 @@
 
 // Agent is the system's process beside one upstream.
 type Agent struct {
-	log       *slog.Logger
-	metrics   *metric.Set
-	settings  *setup.Settings
-	link      *link.Link
-	ids       *connid.Codec
-	keys      keyset.Set
-	peers     *tls.Config
-	admission *admission
-	handler   *handler
-	conn      *packetConn
+	log        *slog.Logger
+	metrics    *metric.Set
+	settings   *setup.Settings
+	link       *link.Link
+	ids        *connid.Codec
+	keys       keyset.Set
+	peers      *tls.Config
+	unverified *rate.Limiter
+	admission  *admission
+	handler    *handler
+	conn       *packetConn
 
 	service     atomic.Pointer[config.Service]
 	connections atomic.Int64
@@ -69,6 +75,10 @@
 	// Peers is the mutual TLS configuration between agents.
 	Peers *tls.Config
 
+	// Unverified bounds the flows per second that begin without a proof of the
+	// caller's address; those beyond are asked for it by a Retry packet.
+	Unverified rate.Limit
+
 	Log     *slog.Logger
 	Metrics *metric.Set
 }
@@ -77,14 +87,15 @@
 func New(o Options) *Agent {
 	settings, l := o.Settings, o.Link
 	a := &Agent{
-		log:       o.Log,
-		metrics:   o.Metrics,
-		settings:  settings,
-		link:      l,
-		ids:       o.IDs,
-		keys:      o.Keys,
-		peers:     o.Peers,
-		admission: newAdmission(o.Metrics),
+		log:        o.Log,
+		metrics:    o.Metrics,
+		settings:   settings,
+		link:       l,
+		ids:        o.IDs,
+		keys:       o.Keys,
+		peers:      o.Peers,
+		unverified: rate.NewLimiter(o.Unverified, int(o.Unverified)),
+		admission:  newAdmission(o.Metrics),
 	}
 
 	client := newPeerClient(o.Peers)
@@ -126,6 +137,7 @@
 		Conn:                  a.conn,
 		ConnectionIDGenerator: newGenerator(a),
 		StatelessResetKey:     (*quic.StatelessResetKey)(relay.ResetKey(a.keys)),
+		VerifySourceAddress:   func(net.Addr) bool { return !a.unverified.Allow() },
 	}
 	listener, err := transport.ListenEarly(
 		http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}),
--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -120,6 +120,15 @@
 	}
 }
 
+func TestCallersThatProveTheirAddressAreServed(t *testing.T) {
+	s := newSystemWith(t, conditions{suspicious: true}, http.HandlerFunc(greet), http.HandlerFunc(greet))
+	for range 4 {
+		if status, _, body := s.answer(s.client(), s.request("GET", "/x", "", nil)); status != 200 || body != "hello" {
+			t.Errorf("got status %d, %q", status, body)
+		}
+	}
+}
+
 func TestReplacedAgentResetsOldFlowsAtOnce(t *testing.T) {
 	s := newSystem(t, http.HandlerFunc(greet))
 	client := s.client()
--- a/internal/transport/agent/system_test.go
+++ b/internal/transport/agent/system_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+	"golang.org/x/time/rate"
 
 	"github.com/coriandershift/coriandershift/internal/standin/certs"
 	"github.com/coriandershift/coriandershift/internal/standin/fabric"
@@ -51,11 +52,13 @@
 	agents    []*process
 	upstreams []*httptest.Server
 	fabric    *fabric.Fabric
-	service   netip.AddrPort
-	store     *store.Client
-	public    setup.Certificate
-	roots     *x509.CertPool
-	peers     *tls.Config
+
+	unverified rate.Limit
+	service    netip.AddrPort
+	store      *store.Client
+	public     setup.Certificate
+	roots      *x509.CertPool
+	peers      *tls.Config
 }
 
 // process is a balancer or an agent.
@@ -75,6 +78,9 @@
 type conditions struct {
 	limits func(*config.Limits)
 	faults fabric.Faults
+
+	// suspicious has agents ask every caller to prove its address.
+	suspicious bool
 }
 
 func newSystem(t *testing.T, upstreams ...http.Handler) *system {
@@ -84,7 +90,10 @@
 
 func newSystemWith(t *testing.T, c conditions, upstreams ...http.Handler) *system {
 	t.Helper()
-	s := &system{t: t, service: freeUDP(t)}
+	s := &system{t: t, service: freeUDP(t), unverified: agent.DefaultUnverified}
+	if c.suspicious {
+		s.unverified = 0
+	}
 	s.makeCertificate()
 	platform := httptest.NewServer(standin.New().Handler())
 	t.Cleanup(platform.Close)
@@ -209,7 +218,8 @@
 		Service: "checklists", Upstream: upstream, Peer: peer, Public: s.public, MaxBody: 1 << 20, Drain: setup.Duration(5 * time.Second),
 	}}
 	a := agent.New(agent.Options{
-		Settings: settings, Keys: keys, IDs: connid.New(keys), Link: p.link, Peers: s.peers, Log: quiet(), Metrics: p.metrics,
+		Settings: settings, Keys: keys, IDs: connid.New(keys), Link: p.link, Peers: s.peers, Unverified: s.unverified,
+		Log: quiet(), Metrics: p.metrics,
 	})
 	s.run(p, func(ctx context.Context) { _ = a.Run(ctx) })
 	s.agents = append(s.agents, p)
