--- a/internal/transport/agent/agent_test.go
+++ b/internal/transport/agent/agent_test.go
@@ -210,15 +210,20 @@
 	callers.Wait()
 }
 
-func TestFlowSurvivesChangesOfTheCallersAddress(t *testing.T) {
-	lines := 40
-	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// slowFeed is an upstream that sends a number of lines, one each 50 ms.
+func slowFeed(lines int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
 		for i := range lines {
 			fmt.Fprintf(w, "task %d\n", i)
 			w.(http.Flusher).Flush()
 			time.Sleep(50 * time.Millisecond)
 		}
-	}))
+	}
+}
+
+func TestFlowSurvivesChangesOfTheCallersAddress(t *testing.T) {
+	const lines = 40
+	s := newSystem(t, slowFeed(lines))
 	response, err := s.client().Do(s.request("GET", "/feeds/1", "", nil))
 	if err != nil {
 		t.Fatal(err)
@@ -234,14 +239,8 @@
 }
 
 func TestFlowSurvivesEveryBalancerInTurn(t *testing.T) {
-	lines := 60
-	s := newSystem(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		for i := range lines {
-			fmt.Fprintf(w, "task %d\n", i)
-			w.(http.Flusher).Flush()
-			time.Sleep(50 * time.Millisecond)
-		}
-	}))
+	const lines = 60
+	s := newSystem(t, slowFeed(lines))
 	response, err := s.client().Do(s.request("GET", "/feeds/1", "", nil))
 	if err != nil {
 		t.Fatal(err)
@@ -254,8 +253,7 @@
 	first.healthy.Store(false)
 	time.Sleep(time.Second)
 	s.balancers = s.balancers[1:]
-	third := s.addBalancer(first.frontend)
-	_ = third
+	s.addBalancer(first.frontend)
 	first.healthy.Store(true) // the fabric's check of this address is the first one's
 	time.Sleep(500 * time.Millisecond)
 	second.healthy.Store(false)
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -29,12 +29,6 @@
 	retryStore   = time.Second
 )
 
-// Fetcher gets a configuration from a peer.
-type Fetcher interface {
-	// Newer returns the peer's configuration, given one that is known.
-	Newer(ctx context.Context, admin netip.AddrPort, known *config.Config) (*config.Config, error)
-}
-
 // Link is one process's connection to the others. It is safe for concurrent use.
 type Link struct {
 	log     *slog.Logger
@@ -104,13 +98,6 @@
 	return l.cfg
 }
 
-// Since returns the delta from a revision to the configuration in force, and whether it is known.
-func (l *Link) Since(revision uint64) (config.Delta, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.history.Since(revision)
-}
-
 // Members returns all known members.
 func (l *Link) Members() []roster.Member {
 	l.mu.Lock()
@@ -205,24 +192,6 @@
 	}
 }
 
-// Adopt takes a configuration into use if its revision is higher, and reports whether it did.
-func (l *Link) Adopt(cfg *config.Config, source string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	if cfg.Revision <= l.cfg.Revision {
-		return false
-	}
-
-	l.history.Add(config.Diff(l.cfg, cfg))
-	l.cfg = cfg
-	l.node.SetRevision(cfg.Revision)
-	l.metrics.Revision.Set(float64(cfg.Revision))
-	l.log.Info("configuration in force", "revision", cfg.Revision, "source", source)
-	l.signal()
-	return true
-}
-
 func (l *Link) tick() {
 	l.mu.Lock()
 	sends := l.node.Tick(time.Now())
@@ -258,35 +227,6 @@
 	l.signal()
 }
 
-// fetch gets a configuration from a peer in the background, one at a time.
-func (l *Link) fetch(offer member.Offer) {
-	l.mu.Lock()
-	busy := l.fetching || offer.Revision <= l.cfg.Revision
-	if !busy {
-		l.fetching = true
-	}
-	l.mu.Unlock()
-	if busy {
-		return
-	}
-
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-		defer cancel()
-
-		cfg, err := l.fetcher.Newer(ctx, offer.Admin, l.Config())
-		if err != nil {
-			l.log.Warn("cannot fetch configuration", "peer", offer.Admin, "error", err)
-		} else {
-			l.Adopt(cfg, "peer")
-		}
-
-		l.mu.Lock()
-		l.fetching = false
-		l.mu.Unlock()
-	}()
-}
-
 // signal must be called with the lock held.
 func (l *Link) signal() {
 	select {
