--- a/internal/transport/admin/admin_test.go
+++ b/internal/transport/admin/admin_test.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
@@ -13,6 +12,7 @@
 
 	"github.com/coriandershift/coriandershift/internal/coordination/commit"
 	"github.com/coriandershift/coriandershift/internal/standin/certs"
+	"github.com/coriandershift/coriandershift/internal/standin/ports"
 	standin "github.com/coriandershift/coriandershift/internal/standin/store"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
@@ -248,10 +248,9 @@
 
 func freeUDP(t *testing.T) netip.AddrPort {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	address, err := ports.UDP()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	return netip.MustParseAddrPort(conn.LocalAddr().String())
+	return address
 }
--- a/internal/transport/agent/system_test.go
+++ b/internal/transport/agent/system_test.go
@@ -7,7 +7,6 @@
 	"crypto/x509"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -22,6 +21,7 @@
 
 	"github.com/coriandershift/coriandershift/internal/standin/certs"
 	"github.com/coriandershift/coriandershift/internal/standin/fabric"
+	"github.com/coriandershift/coriandershift/internal/standin/ports"
 	standin "github.com/coriandershift/coriandershift/internal/standin/store"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/connid"
@@ -340,12 +340,11 @@
 
 func freeUDP(t *testing.T) netip.AddrPort {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	address, err := ports.UDP()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	return netip.MustParseAddrPort(conn.LocalAddr().String())
+	return address
 }
 
 func quiet() *slog.Logger {
