Count the runs of each try in the fault matrix by itself

script/test failed once: 'stalls at headers, GET "signed": said not to have run, but ran'. The check was wrong there: it counted the runs of both tries under one name, so a second try of a GET that was truthfully refused was blamed for the first one's run. Each try now has an ID of its own, and its runs are read after all tries, so a late arrival counts too; the bound of one run for what must not run twice still covers all tries.

--- a/internal/transport/agent/matrix_test.go
+++ b/internal/transport/agent/matrix_test.go
@@ -99,33 +99,46 @@
 func (s *system) tryFault(name string, upstream *faulty, fault, step, method, body string) {
 	const tries = 2
 	client := s.client()
-	for range tries {
+	var ids, notRun []string
+	for try := range tries {
+		id := fmt.Sprintf("%s, try %d", name, try+1)
 		started := time.Now()
-		outcome, err := s.attempt(client, name, fault, step, method, body)
+		outcome, err := s.attempt(client, id, name, fault, step, method, body)
 		if err == nil && outcome == "" {
 			s.t.Errorf("%s: the answer ended as if it were whole", name)
 		}
-		if outcome == "not-run" && upstream.count(name) > 0 {
-			s.t.Errorf("%s: said not to have run, but ran", name)
+		if outcome == "not-run" {
+			notRun = append(notRun, id)
 		}
 		if took := time.Since(started); took > bound {
 			s.t.Errorf("%s: the caller waited %s", name, took)
 		}
+		ids = append(ids, id)
 	}
-	if runs := upstream.count(name); method == http.MethodPost && runs > 1 {
+
+	for _, id := range notRun {
+		if upstream.count(id) > 0 {
+			s.t.Errorf("%s: said not to have run, but ran", id)
+		}
+	}
+	runs := 0
+	for _, id := range ids {
+		runs += upstream.count(id)
+	}
+	if method == http.MethodPost && runs > 1 {
 		s.t.Errorf("%s: ran %d times", name, runs)
 	}
 }
 
 // attempt returns what the caller was told: an outcome header or status, an
 // error, or nothing for an answer that ended as whole.
-func (s *system) attempt(client *http.Client, name, fault, step, method, body string) (string, error) {
+func (s *system) attempt(client *http.Client, id, key, fault, step, method, body string) (string, error) {
 	r := s.request(method, "/short", "", strings.NewReader(body))
-	r.Header.Set("Request-Id", name)
+	r.Header.Set("Request-Id", id)
 	r.Header.Set("Fault", fault)
 	r.Header.Set("Step", step)
 	if method == http.MethodPost {
-		r.Header.Set("Idempotency-Key", name)
+		r.Header.Set("Idempotency-Key", key)
 	}
 
 	response, err := client.Do(r)
