Do less on each change of a member, and say once how a request is served

Every change of a member parsed all service addresses again; they now follow the configuration alone, or a failed try. The rank for a place at the store was counted over a sorted copy of the whole roster, where the ring has it in order. A request from a caller and one that a peer passed on went through two copies of the same steps. A key was hashed before its length was checked. Two comments said what the code does not do. Behaviour stays; TestRanksOfADomainAreDifferent covers the rank.

--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -133,7 +133,7 @@
 	n.learnFrom(now, m)
 	for _, member := range m.Members {
 		if member.Address == n.self.Address {
-			n.refute(now, member)
+			n.refuteOwn(now, member)
 			continue
 		}
 		if n.refutesClaim(member) {
@@ -165,8 +165,8 @@
 	return roster.Unconfirmed, now.Add(ConfirmAfter)
 }
 
-// refute answers a record about this node that is not its own.
-func (n *Node) refute(now time.Time, claim roster.Member) {
+// refuteOwn answers a record about this node that is not its own.
+func (n *Node) refuteOwn(now time.Time, claim roster.Member) {
 	if claim.Same(&n.self) {
 		n.roster.Merge(claim, now) // or its digest would differ from all others for ever
 		return
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -185,6 +185,22 @@
 	}
 }
 
+func TestRanksOfADomainAreDifferent(t *testing.T) {
+	f := settled(t, 13, 12, 0)
+	seen := map[string]map[int]bool{}
+	for _, h := range f.nodes {
+		if seen[h.domain] == nil {
+			seen[h.domain] = map[int]bool{}
+		}
+		seen[h.domain][h.node.Rank()] = true
+	}
+	for domain, ranks := range seen {
+		if len(ranks) != 3 || !ranks[0] || !ranks[1] || !ranks[2] {
+			t.Errorf("the three balancers of %s have the ranks %v", domain, ranks)
+		}
+	}
+}
+
 func TestLeavingSpreadsWithinSeconds(t *testing.T) {
 	f := settled(t, 9, 6, 30)
 	h := f.nodes[15]
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// Rank returns how many balancers of the node's failure domain come before it on the ring.
+func (n *Node) Rank() int {
+	before := 0
+	for i := range n.ring {
+		if n.ring[i].Address == n.self.Address {
+			break
+		}
+		if n.ring[i].Domain == n.self.Domain {
+			before++
+		}
+	}
+	return before
+}
+
 func (n *Node) isHomeOf(address netip.AddrPort) bool {
 	if address == n.self.Address {
 		return false
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -126,7 +126,14 @@
 
 // Balancers returns the balancers that are not dead, sorted by address.
 func (r *Roster) Balancers() []Member {
-	return slices.DeleteFunc(r.Members(), func(m Member) bool { return m.Role != Balancer || m.State == Dead })
+	var balancers []Member
+	for _, e := range r.members {
+		if e.member.Role == Balancer && e.member.State != Dead {
+			balancers = append(balancers, e.member)
+		}
+	}
+	slices.SortFunc(balancers, func(a, b Member) int { return a.Address.Compare(b.Address) })
+	return balancers
 }
 
 // LostBalancers returns the addresses of the dead balancers that are remembered, sorted.
--- a/internal/transport/agent/exchange.go
+++ b/internal/transport/agent/exchange.go
@@ -65,17 +65,18 @@
 		return nil, false
 	}
 
+	key := r.Header.Get(headerKey)
+	if len(key) > maxKey {
+		notRun(w, http.StatusBadRequest, "idempotency key is too long", 0)
+		return nil, false
+	}
+
 	now := time.Now()
 	x := &exchange{w: w, r: r, service: service, class: class, started: now}
 	x.deadline = now.Add(timeLeft(r, class.Timeout.Duration()))
-	key := r.Header.Get(headerKey)
 	if key != "" && !safeMethod(r.Method) {
 		x.key = scopedKey(r, key)
 	}
-	if len(key) > maxKey {
-		notRun(w, http.StatusBadRequest, "idempotency key is too long", 0)
-		return nil, false
-	}
 	return x, true
 }
 
--- a/internal/transport/agent/handler.go
+++ b/internal/transport/agent/handler.go
@@ -47,35 +47,32 @@
 // ServeHTTP answers one request, or resets its stream when the answer cannot be whole.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(headerDomain, h.domain)
+	h.serve(w, r, false)
+}
+
+// servePassed answers a request that a peer has passed on. The peer holds its
+// idempotency key.
+func (h *handler) servePassed(w http.ResponseWriter, r *http.Request) {
+	h.serve(w, r, true)
+}
 
+func (h *handler) serve(w http.ResponseWriter, r *http.Request, passed bool) {
 	x, ok := h.newExchange(w, r)
 	if !ok {
 		return
 	}
 	defer h.observe(x)
 
+	x.passed = passed
 	if !h.holdBody(x) {
 		return
 	}
-	h.passing.earn()
-	if x.key != "" && !h.claim(x) {
-		return
-	}
-	h.admit(x)
-}
-
-// servePassed answers a request that a peer has passed on.
-func (h *handler) servePassed(w http.ResponseWriter, r *http.Request) {
-	x, ok := h.newExchange(w, r)
-	if !ok {
-		return
+	if !passed {
+		h.passing.earn()
 	}
-	defer h.observe(x)
-
-	if !h.holdBody(x) {
+	if !passed && x.key != "" && !h.claim(x) {
 		return
 	}
-	x.passed = true
 	h.admit(x)
 }
 
--- a/internal/transport/agent/ledger.go
+++ b/internal/transport/agent/ledger.go
@@ -52,8 +52,8 @@
 	guards []netip.AddrPort
 }
 
-// claim asks for a key: first here, then each guard in the same order at every
-// agent, so that of two claims at once one is granted. A guard that does not
+// claim asks for a key: each guard in the same order at every agent, so that of
+// two claims at once one is granted, and then this agent. A guard that does not
 // answer is passed over. Unless the status is dedup.Unknown, the request must not run.
 func (g *guard) claim(ctx context.Context, key string) (*grant, dedup.Status, *dedup.Answer) {
 	granted := &grant{key: key}
--- a/internal/transport/agent/passing.go
+++ b/internal/transport/agent/passing.go
@@ -75,7 +75,7 @@
 	return x.body == nil && x.r.ContentLength != 0 && !safeMethod(x.r.Method)
 }
 
-// choose returns peers that take new work, the fuller weights first among a random few.
+// choose returns up to passTries peers that take new work, at random.
 func (p *passing) choose() []netip.AddrPort {
 	var open []roster.Member
 	for _, m := range p.peers() {
--- a/internal/transport/edge/edge.go
+++ b/internal/transport/edge/edge.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/route"
+	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/connid"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -32,9 +33,11 @@
 	router  *route.Router
 	relay   *relay.Relay
 
-	// revision and alive are those of the last apply.
-	revision uint64
-	alive    map[netip.AddrPort]bool
+	// revision and alive are those of the last apply. listening says that it
+	// left all service addresses open.
+	revision  uint64
+	listening bool
+	alive     map[netip.AddrPort]bool
 }
 
 // Options are what a Balancer needs.
@@ -83,41 +86,47 @@
 	retry := time.NewTicker(listenRetry)
 	defer retry.Stop()
 
-	failed := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-b.link.Changed():
-			failed = !b.apply(healthy)
+			b.apply(healthy)
 			time.Sleep(tableEvery)
 		case <-retry.C:
-			if failed {
-				failed = !b.apply(healthy)
+			if b.revision > 0 && !b.listening {
+				b.apply(healthy)
 			}
 		}
 	}
 }
 
-// apply takes the current configuration and members into use, and reports
-// whether all service addresses are open.
-func (b *Balancer) apply(healthy func(bool)) bool {
+// apply takes the current configuration and members into use. The service
+// addresses follow the configuration alone.
+func (b *Balancer) apply(healthy func(bool)) {
 	cfg := b.link.Config()
 	changed := b.link.TakeChanged()
 	b.count(changed)
 	if cfg.Revision != b.revision {
 		b.revision = cfg.Revision
+		b.listening = false
 		b.router.Update(cfg, b.link.Members())
 	} else {
 		b.router.Change(changed)
 	}
 
+	if !b.listening {
+		b.listen(cfg)
+	}
+	healthy(b.listening && cfg.Revision > 0 && b.link.Self().State == roster.Alive)
+}
+
+func (b *Balancer) listen(cfg *config.Config) {
 	err := b.relay.Update(cfg)
 	if err != nil {
 		b.log.Error("service address not opened", "error", err)
 	}
-	healthy(err == nil && cfg.Revision > 0 && b.link.Self().State == roster.Alive)
-	return err == nil
+	b.listening = err == nil
 }
 
 // count keeps the number of members that are not dead.
--- a/internal/transport/link/place.go
+++ b/internal/transport/link/place.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift"
-	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
 const (
@@ -60,15 +59,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	self := l.node.Self()
-	own := roster.Hash(self.Address)
-	before := 0
-	for _, m := range l.node.Roster().Balancers() {
-		if m.Domain == self.Domain && roster.Hash(m.Address) < own {
-			before++
-		}
-	}
-	return before
+	return l.node.Rank()
 }
 
 // claimPlace takes the first free place. It returns coriandershift.ErrConflict if all are taken.
