--- /dev/null
+++ b/cmd/coriandershift-forward/cmd_agent.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/clitab"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/outlet"
+	"github.com/coriandershift/coriandershift/platform"
+)
+
+var agentArgs settingsArgs
+
+var agentCommand = clitab.Command{
+	Name: "agent",
+	Help: "run the agent beside an upstream",
+	Args: &agentArgs,
+	Run:  runAgent,
+}
+
+func runAgent() error {
+	d, err := newDaemon(agentArgs, agentMember)
+	if err != nil {
+		return err
+	}
+	defer d.logs.Flush()
+
+	signalled, stop := untilSignal()
+	defer stop()
+	return d.runAgent(signalled)
+}
+
+func agentMember(f *setup.Forward) roster.Member {
+	m := roster.Member{Address: f.Address, Role: roster.Agent, Name: f.Name, Domain: f.Domain, Admin: f.Address}
+	if f.Agent != nil {
+		m.Service = f.Agent.Service
+	}
+	return m
+}
+
+func (d *daemon) runAgent(signalled context.Context) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+
+	settings := d.settings.Agent
+	agent, err := outlet.Listen(outlet.Options{
+		Log: d.log, Metrics: d.metrics, Link: d.link, Packets: platform.Packets{}, Keys: d.settings.Keys(),
+		Service: settings.Service, Upstream: settings.Upstream, Outbound: settings.Outbound,
+		CallerPort: settings.Callers.Port(),
+	})
+	if err != nil {
+		return err
+	}
+
+	announcements := platform.Announcements(d.log, settings.Service, settings.Upstream, agent)
+	failed := make(chan error, 4)
+	go func() { failed <- d.serve(settings.Announcements, announcements) }()
+	go func() { failed <- agent.Run(ctx) }()
+	d.start(ctx, failed)
+	go d.link.FollowSeeds(ctx)
+	d.log.Info("agent started", "address", d.settings.Address, "service", settings.Service)
+
+	select {
+	case err := <-failed:
+		return err
+	case <-signalled.Done():
+	}
+
+	d.log.Info("stopping", "most", time.Duration(settings.Drain))
+	agent.Stop(time.Duration(settings.Drain))
+	d.log.Info("agent stopped")
+	return nil
+}
--- /dev/null
+++ b/cmd/coriandershift-forward/cmd_balancer.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/clitab"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/inlet"
+	"github.com/coriandershift/coriandershift/platform"
+)
+
+var balancerArgs settingsArgs
+
+var balancerCommand = clitab.Command{
+	Name: "balancer",
+	Help: "run a balancer on an entry VM",
+	Args: &balancerArgs,
+	Run:  runBalancer,
+}
+
+func runBalancer() error {
+	d, err := newDaemon(balancerArgs, balancerMember)
+	if err != nil {
+		return err
+	}
+	defer d.logs.Flush()
+
+	signalled, stop := untilSignal()
+	defer stop()
+	return d.runBalancer(signalled)
+}
+
+func balancerMember(f *setup.Forward) roster.Member {
+	return roster.Member{Address: f.Address, Role: roster.Balancer, Name: f.Name, Domain: f.Domain, Admin: f.Address}
+}
+
+// runBalancer forwards until the signal, then withdraws from the fabric and goes
+// on for a while, so that no packet on its way is lost.
+func (d *daemon) runBalancer(signalled context.Context) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+
+	balancer, err := inlet.Listen(inlet.Options{
+		Log: d.log, Metrics: d.metrics, Link: d.link, Packets: platform.Packets{}, Keys: d.settings.Keys(),
+		Callers: d.settings.Balancer.Callers,
+	})
+	if err != nil {
+		return err
+	}
+
+	var withdrawn atomic.Bool
+	ready := func() bool { return balancer.Ready() && !withdrawn.Load() }
+	failed := make(chan error, 4)
+	go func() { failed <- d.serve(d.settings.Balancer.Ready, platform.Ready(ready)) }()
+	go func() { failed <- balancer.Run(ctx) }()
+	d.start(ctx, failed)
+	go d.link.FollowOperators(ctx, platform.NewOperators(d.store))
+	go d.link.FollowSeeds(ctx)
+	go d.link.AnnounceSeed(ctx)
+	d.log.Info("balancer started", "address", d.settings.Address)
+
+	select {
+	case err := <-failed:
+		return err
+	case <-signalled.Done():
+	}
+
+	withdraw := time.Duration(d.settings.Balancer.Withdraw)
+	d.log.Info("withdrawing", "for", withdraw)
+	withdrawn.Store(true)
+	d.link.Leave()
+	time.Sleep(withdraw)
+	d.log.Info("balancer stopped")
+	return nil
+}
+
+// seedsOf returns the addresses of seeds, whose port is the daemon's own.
+func seedsOf(f *setup.Forward) []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, s := range f.Seeds {
+		seeds = append(seeds, netip.AddrPortFrom(s.Addr(), f.Address.Port()))
+	}
+	return seeds
+}
--- /dev/null
+++ b/cmd/coriandershift-forward/daemon.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/state/setup"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/logbuf"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/platform"
+)
+
+// readTimeout bounds the reading of a request's header, and idleTimeout how long
+// a connection may rest: probes and heartbeats come every second.
+const (
+	readTimeout = 5 * time.Second
+	idleTimeout = 10 * time.Second
+)
+
+type settingsArgs struct {
+	Settings string `arg:"--settings,env:CORIANDERSHIFT_SETTINGS,required" help:"settings file, JSON with comments"`
+}
+
+// daemon is what a balancer and an agent have in common.
+type daemon struct {
+	settings *setup.Forward
+	logs     *logbuf.Buffer
+	log      *slog.Logger
+	metrics  *metric.Set
+	store    *platform.Store
+	link     *link.Link
+}
+
+func newDaemon(args settingsArgs, self func(*setup.Forward) roster.Member) (*daemon, error) {
+	settings, err := setup.LoadForward(args.Settings)
+	if err != nil {
+		return nil, err
+	}
+
+	d := &daemon{settings: settings, logs: logbuf.New(os.Stdout), metrics: metric.New()}
+	d.log = newLogger(settings, d.logs)
+	d.store = platform.NewStore(settings.Store, platform.WithObserver(d.metrics.ObserveStoreCall))
+
+	member := self(settings)
+	member.Incarnation = uint64(time.Now().UnixMilli())
+	d.link, err = link.Listen(link.Options{
+		Self:    member,
+		Keys:    settings.Keys(),
+		Log:     d.log,
+		Metrics: d.metrics,
+		Store:   d.store,
+		Fetcher: link.NewPlain(),
+		Seeds:   seedsOf(settings),
+	})
+	return d, err
+}
+
+// start serves what both daemons serve besides their flows.
+func (d *daemon) start(ctx context.Context, failed chan<- error) {
+	peers := http.NewServeMux()
+	peers.HandleFunc("GET "+link.ConfigPath, d.link.ServeConfig)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", d.metrics.Handler())
+	go func() { failed <- d.serve(d.settings.Address, peers) }()
+	go func() { failed <- d.serve(d.settings.Metrics, metrics) }()
+	go d.reload(ctx)
+}
+
+func (d *daemon) serve(address netip.AddrPort, handler http.Handler) error {
+	server := &http.Server{
+		Addr: address.String(), Handler: handler, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout,
+	}
+	return errors.Wrapf(server.ListenAndServe(), "serve on %s", address)
+}
+
+func newLogger(s *setup.Forward, out *logbuf.Buffer) *slog.Logger {
+	var level slog.Level
+	if s.LogLevel != "" {
+		_ = level.UnmarshalText([]byte(s.LogLevel)) // the settings were checked
+	}
+	handler := slog.NewTextHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors})
+	return slog.New(handler).With("name", s.Name)
+}
+
+// shortErrors keeps the call stacks that errors carry out of the log.
+func shortErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
+
+// reload takes settings that can change in a running process into use whenever
+// they are said to have changed. All others are said to need a restart.
+func (d *daemon) reload(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			d.reloadOnce()
+		}
+	}
+}
+
+func (d *daemon) reloadOnce() {
+	settings, err := setup.LoadForward(balancerArgs.Settings + agentArgs.Settings)
+	if err != nil {
+		d.log.Warn("settings not reloaded", "error", err)
+		return
+	}
+	d.link.SetSeeds(seedsOf(settings))
+	d.log.Info("settings reloaded", "seeds", len(settings.Seeds))
+}
+
+// untilSignal returns a context that ends with SIGTERM or SIGINT.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
--- /dev/null
+++ b/cmd/coriandershift-forward/main.go
@@ -0,0 +1,19 @@
+// Command coriandershift-forward runs the daemons of forwarded flows.
+package main
+
+import (
+	"os"
+
+	"github.com/coriandershift/coriandershift/internal/clitab"
+	"github.com/coriandershift/coriandershift/internal/version"
+)
+
+func main() {
+	program := clitab.Program{
+		Name:     "coriandershift-forward",
+		Help:     "forwards opaque flows between callers and upstreams",
+		Version:  version.Number,
+		Commands: []clitab.Command{balancerCommand, agentCommand, checkCommand},
+	}
+	os.Exit(program.Main(os.Args[1:]))
+}
--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -45,7 +45,11 @@
 	}
 
 	n.learn(now, m.From)
-	return []Send{{To: m.From.Address, Message: n.ack(m)}}
+	ack := n.ack(m)
+	if known, ok := n.roster.Get(m.From.Address); ok && known.Incarnation > m.From.Incarnation {
+		ack.Known = known.Incarnation
+	}
+	return []Send{{To: m.From.Address, Message: ack}}
 }
 
 // complete fills in what a brief heartbeat lacks, and reports whether it could.
@@ -111,6 +115,9 @@
 func (n *Node) onAck(now time.Time, m Message) {
 	n.lastAck = now
 	n.acquainted[m.From.Address] = m.Acquainted
+	if m.Known > n.self.Incarnation {
+		n.supersede(m.Known)
+	}
 	if n.self.Role != roster.Balancer {
 		if len(m.Homes) > 0 {
 			n.homes = m.Homes
@@ -171,6 +178,10 @@
 		n.roster.Merge(claim, now) // or its digest would differ from all others for ever
 		return
 	}
+	if claim.Incarnation > n.self.Incarnation {
+		n.supersede(claim.Incarnation)
+		return
+	}
 	if claim.Incarnation != n.self.Incarnation {
 		return
 	}
@@ -178,6 +189,15 @@
 	n.announce()
 }
 
+// supersede takes an incarnation above one that others know this address under.
+// Incarnations come from the time of day, which may have been set back.
+func (n *Node) supersede(known uint64) {
+	n.self.Incarnation = known + 1
+	clear(n.acquainted)
+	n.lastBeat = time.Time{}
+	n.announce()
+}
+
 // refutesClaim reports whether a claim of death is older than a heartbeat heard
 // here, and says so to the others.
 func (n *Node) refutesClaim(claim roster.Member) bool {
--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -57,6 +57,11 @@
 	// Acquainted says in an acknowledgement that the next heartbeat may be brief.
 	Acquainted bool `cbor:"11,keyasint,omitempty"`
 
+	// Known is the incarnation under which the sender of an acknowledgement knows
+	// its receiver, if that is later than the heartbeat's: the receiver's clock
+	// was set back before it started.
+	Known uint64 `cbor:"12,keyasint,omitempty"`
+
 	// Reply says that a digest answers another one, so that it is not answered again.
 	Reply bool `cbor:"7,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/coordination/owner/entry.go
@@ -0,0 +1,188 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// ackWindow is how far a caller may have acknowledged beyond the start of the
+// upstream's stream: more than any flow carries, far less than a stray sequence.
+const ackWindow = 1 << 28
+
+// entry is one flow at the upstream.
+type entry struct {
+	openedAt time.Time
+	lastAt   time.Time
+
+	// sequence is that of the caller's opening packet; upstreamStart that of
+	// the upstream's answer, if answered.
+	sequence      uint32
+	upstreamStart uint32
+	answered      bool
+
+	// open says that the caller completed the handshake here.
+	open bool
+
+	// callerAck is what the caller acknowledged last; callerNext the end of the
+	// data it has sent, if it has sent any.
+	callerAck  uint32
+	callerNext uint32
+	sent       bool
+
+	// waiting counts the flow as a request: it will send one, or awaits its answer.
+	waiting   bool
+	askedAt   time.Time
+	asked     bool
+	callerFin bool
+	serverFin bool
+	ended     bool
+
+	// packet and envelope are those of the opening packet while it is unanswered.
+	packet   []byte
+	envelope hop.Envelope
+}
+
+func (e *entry) closed() bool {
+	return e.ended || (e.callerFin && e.serverFin)
+}
+
+// belongs reports whether a caller's packet acknowledges this upstream's stream.
+// Two upstreams may have answered copies of one opening packet; the flow is open
+// at the one that the caller acknowledges.
+func (e *entry) belongs(p *flow.Packet) bool {
+	return !e.answered || !p.Ack || p.Acknowledged-e.upstreamStart < ackWindow
+}
+
+// begin counts the flow as a request at the upstream.
+func (o *Owner) begin(e *entry) {
+	if !e.waiting {
+		e.waiting = true
+		o.requests++
+	}
+}
+
+// rest counts the flow as idle.
+func (o *Owner) rest(e *entry) {
+	if e.waiting {
+		e.waiting = false
+		o.requests--
+	}
+}
+
+// end forgets a flow.
+func (o *Owner) end(key flow.Key, e *entry) {
+	o.rest(e)
+	delete(o.opening, key)
+	delete(o.flows, key)
+}
+
+// noteCaller follows a caller's packet that goes to the upstream.
+func (o *Owner) noteCaller(now time.Time, e *entry, p *flow.Packet) {
+	e.lastAt = now
+	e.open = true
+	if p.Ack {
+		e.callerAck = p.Acknowledged
+	}
+	if next := p.Sequence + uint32(p.Length); p.Length > 0 && (!e.sent || int32(next-e.callerNext) > 0) {
+		e.sent = true
+		e.callerNext = next
+		if !e.asked {
+			e.asked = true
+			e.askedAt = now
+		}
+		o.begin(e)
+	}
+	if p.Finish {
+		e.callerFin = true
+	}
+	if p.Reset {
+		e.ended = true
+	}
+	if e.closed() {
+		o.rest(e)
+	}
+}
+
+// noteUpstream follows an upstream's packet that goes to the caller.
+func (o *Owner) noteUpstream(now time.Time, key flow.Key, e *entry, p *flow.Packet) {
+	e.lastAt = now
+	if p.Open && p.Ack {
+		e.upstreamStart = p.Sequence
+		e.answered = true
+		e.packet = nil
+		delete(o.opening, key)
+		o.unheard = 0
+	}
+	if p.Length > 0 {
+		o.complete(now, key, e)
+	}
+	if p.Finish {
+		e.serverFin = true
+	}
+	if p.Reset {
+		e.ended = true
+	}
+	if e.closed() {
+		o.rest(e)
+	}
+}
+
+// complete takes the first bytes of an answer for the end of the work on it.
+func (o *Owner) complete(now time.Time, key flow.Key, e *entry) {
+	o.rest(e)
+	if !e.asked {
+		return
+	}
+	e.asked = false
+	done := Completion{Key: key, Took: now.Sub(e.askedAt)}
+	if route := o.routes[key.Service]; route != nil {
+		done.Kind = route.Kind
+	}
+	o.finished = append(o.finished, done)
+}
+
+// Due returns when Tick has something to do, and false if it has nothing.
+func (o *Owner) Due() (time.Time, bool) {
+	var due time.Time
+	for _, e := range o.opening {
+		if at := e.openedAt.Add(answerTimeout); due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	return due, !due.IsZero()
+}
+
+// Tick hands on opening packets that the upstream left unanswered, and forgets old flows.
+func (o *Owner) Tick(now time.Time) []Action {
+	o.actions = o.actions[:0]
+	for key, e := range o.opening {
+		if now.Sub(e.openedAt) < answerTimeout {
+			continue
+		}
+		o.unheard++
+		envelope, packet := e.envelope, e.packet
+		o.end(key, e)
+		o.handOn(now, key, &envelope, packet, NoAnswer)
+	}
+	o.sweep(now)
+	return o.actions
+}
+
+func (o *Owner) sweep(now time.Time) {
+	if now.Sub(o.lastSweep) < sweepEvery {
+		return
+	}
+	o.lastSweep = now
+	o.offers.sweep(now)
+	for key, e := range o.flows {
+		idle := now.Sub(e.lastAt)
+		if !e.open && idle > openTimeout {
+			o.rest(e)
+		}
+		if idle > forgetAfter || (e.closed() && idle > closedLinger) {
+			o.end(key, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/owner/offer.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+const (
+	// offerTTL is how long a bounce of an offered packet is expected.
+	offerTTL = time.Second
+
+	// maxOffers bounds the offers that wait for a bounce.
+	maxOffers = 4096
+)
+
+// offers are packets of unknown flows that were given to the upstream, by the
+// tag that comes back if it bounces them.
+type offers struct {
+	byTag map[uint32]offer
+	last  uint32
+}
+
+type offer struct {
+	at       time.Time
+	key      flow.Key
+	envelope hop.Envelope
+}
+
+func (f *offers) add(now time.Time, key flow.Key, e *hop.Envelope) (uint32, bool) {
+	if len(f.byTag) >= maxOffers {
+		return 0, false
+	}
+	f.last = max(1, f.last+1)
+	f.byTag[f.last] = offer{at: now, key: key, envelope: *e}
+	return f.last, true
+}
+
+func (f *offers) take(tag uint32, key flow.Key) (hop.Envelope, bool) {
+	o, ok := f.byTag[tag]
+	if !ok || o.key != key {
+		return hop.Envelope{}, false
+	}
+	delete(f.byTag, tag)
+	return o.envelope, true
+}
+
+func (f *offers) sweep(now time.Time) {
+	for tag, o := range f.byTag {
+		if now.Sub(o.at) > offerTTL {
+			delete(f.byTag, tag)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/owner/owner.go
@@ -0,0 +1,311 @@
+// Package owner decides at an agent for the forwarded flows of its one
+// upstream. It sees every packet both ways, so it is the gate: limits, the ramp
+// of a cold upstream, draining, failure domains that are out and dropped routes
+// are enforced at the moment an opening packet would be delivered. It does no I/O.
+package owner
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+const (
+	// answerTimeout is how long the upstream has to answer an opening packet.
+	// It runs on the same VM and answers within a millisecond unless it is gone.
+	answerTimeout = 60 * time.Millisecond
+
+	// openTimeout is after how long a flow that its caller did not complete
+	// counts no more as a request; callers give up after 1.4 s.
+	openTimeout = 1500 * time.Millisecond
+
+	// offerFor is how long after its start an agent asks its upstream about
+	// flows that it does not know: as long as a flow may live.
+	offerFor = 60 * time.Second
+
+	// forgetAfter is how long a flow is remembered after its last packet.
+	forgetAfter = 60 * time.Second
+
+	// closedLinger is how long a closed flow is remembered for late packets.
+	closedLinger = 5 * time.Second
+
+	// sweepEvery is the time between two passes over the table.
+	sweepEvery = time.Second
+
+	// maxFlows bounds the table; about 200 bytes each.
+	maxFlows = 16384
+
+	// silentAfter is the number of opening packets in a row without an answer
+	// after which the upstream is taken to be silent.
+	silentAfter = 2
+
+	// trialEvery is how often a silent upstream is tried with a new flow.
+	trialEvery = 200 * time.Millisecond
+)
+
+// Verb is what becomes of a packet.
+type Verb uint8
+
+// The verbs.
+const (
+	// Drop throws the packet away.
+	Drop Verb = iota
+	// Deliver gives it to the upstream.
+	Deliver
+	// Answer sends the upstream's packet to the caller.
+	Answer
+	// Forward hands it to another agent, or back to the balancer.
+	Forward
+	// Tell sends a note to the balancer.
+	Tell
+	// Reset tells the caller that the flow does not exist.
+	Reset
+)
+
+// Action is a decision. Reason is empty for packets of known flows.
+type Action struct {
+	Verb     Verb
+	Reason   Reason
+	Key      flow.Key
+	To       flow.Endpoint
+	Envelope hop.Envelope
+	Packet   []byte
+
+	// Tag is what to mark a delivered packet with.
+	Tag uint32
+
+	// Sequence is that of a reset.
+	Sequence uint32
+
+	// Load is the number of requests at the upstream.
+	Load int
+}
+
+// Reason says why a packet went where it did.
+type Reason string
+
+// The reasons.
+const (
+	Opened       Reason = "opened"
+	Offered      Reason = "offered"
+	Found        Reason = "found"
+	NotHeld      Reason = "notHeld"
+	NoUpstream   Reason = "noUpstream"
+	Silent       Reason = "upstreamSilent"
+	WrongService Reason = "wrongService"
+	RouteDropped Reason = "routeDropped"
+	DomainOut    Reason = "domainOut"
+	Leaving      Reason = "upstreamDraining"
+	Stopping     Reason = "agentStopping"
+	Cold         Reason = "coldLimit"
+	Full         Reason = "full"
+	Overloaded   Reason = "overloaded"
+	Bounced      Reason = "bounced"
+	NoAnswer     Reason = "noAnswer"
+	Gone         Reason = "upstreamGone"
+	TableFull    Reason = "tableFull"
+	Unconfigured Reason = "unconfigured"
+)
+
+// Settings are those of one agent.
+type Settings struct {
+	Self    flow.Endpoint
+	Domain  string
+	Service string
+}
+
+// Owner decides for one agent. It is not safe for concurrent use.
+type Owner struct {
+	settings Settings
+	hash     uint32
+	started  time.Time
+
+	cfg      *config.Config
+	routes   map[flow.Endpoint]*config.Route
+	out      bool // the failure domain is out
+	limits   config.Limits
+	upstream *flow.Announcement
+	gone     *flow.Announcement // the incarnation that said goodbye
+	heardAt  time.Time
+	coldTill time.Time
+	ramp     ramp
+	stopping bool
+
+	flows    map[flow.Key]*entry
+	opening  map[flow.Key]*entry // those the upstream has not answered
+	requests int                 // flows that the upstream works for, or soon will
+	unheard  int                 // opening packets in a row without an answer
+	trialAt  time.Time
+	offers   offers
+
+	lastSweep time.Time
+	actions   []Action
+	finished  []Completion
+}
+
+// Completion is the end of one request, seen from its packets.
+type Completion struct {
+	Key  flow.Key
+	Kind config.Kind
+	Took time.Duration
+}
+
+// New returns an Owner that knows neither its upstream nor a configuration.
+func New(settings Settings, now time.Time) *Owner {
+	return &Owner{
+		settings: settings,
+		hash:     config.ServiceHash(settings.Service),
+		started:  now,
+		cfg:      &config.Config{},
+		routes:   map[flow.Endpoint]*config.Route{},
+		flows:    map[flow.Key]*entry{},
+		opening:  map[flow.Key]*entry{},
+		offers:   offers{byTag: map[uint32]offer{}},
+	}
+}
+
+// Configure takes a newer configuration into use and returns the resets of
+// flows whose route it drops.
+func (o *Owner) Configure(now time.Time, cfg *config.Config) []Action {
+	o.actions = o.actions[:0]
+	o.cfg = cfg
+	o.out = cfg.IsOut(o.settings.Domain)
+	if s, known := cfg.Service(o.settings.Service); known {
+		o.limits = s.Limits
+	}
+	o.ramp.limit(o.limits.ColdPerSecond)
+
+	o.routes = make(map[flow.Endpoint]*config.Route, len(cfg.Routes))
+	for i := range cfg.Routes {
+		o.routes[flow.EndpointOf(cfg.Routes[i].Address)] = &cfg.Routes[i]
+	}
+	for key, e := range o.flows {
+		if o.routes[key.Service] == nil {
+			o.end(key, e)
+			o.resetCaller(key, e.callerAck, RouteDropped)
+		}
+	}
+	return o.actions
+}
+
+// Announce takes an announcement of the upstream. It reports whether it was
+// news, and returns what ends with an earlier incarnation.
+func (o *Owner) Announce(now time.Time, a flow.Announcement) (bool, []Action) {
+	o.actions = o.actions[:0]
+	if !o.newer(&a) {
+		return false, nil
+	}
+
+	if o.upstream != nil && !o.upstream.SameIncarnation(&a) {
+		o.endAll(Gone)
+	}
+	fresh := o.upstream == nil || !o.upstream.SameIncarnation(&a)
+	if fresh {
+		o.ramp.fresh(now)
+		o.unheard = 0
+	}
+	o.upstream = &a
+	o.heardAt = now
+	o.coldTill = now.Add(a.WarmUpLeft)
+	return true, o.actions
+}
+
+func (o *Owner) newer(a *flow.Announcement) bool {
+	if o.gone != nil && o.gone.SameIncarnation(a) {
+		return false
+	}
+	if o.upstream == nil {
+		return o.gone == nil || a.Born >= o.gone.Born
+	}
+	if o.upstream.SameIncarnation(a) {
+		return a.Sequence > o.upstream.Sequence
+	}
+	return a.Born > o.upstream.Born
+}
+
+// Depart takes the upstream's goodbye.
+func (o *Owner) Depart(id string) {
+	if o.upstream != nil && o.upstream.ID == id {
+		o.gone = o.upstream
+		o.upstream = nil
+	}
+}
+
+// Stop says that the process is about to end: new flows go to others. If the
+// upstream has ended before, its callers learn it at once.
+func (o *Owner) Stop() []Action {
+	o.actions = o.actions[:0]
+	o.stopping = true
+	if o.upstream == nil && o.gone != nil {
+		o.endAll(Gone)
+	}
+	return o.actions
+}
+
+// Ended takes the news that nothing listens at the upstream's address any more.
+func (o *Owner) Ended() []Action {
+	o.actions = o.actions[:0]
+	if o.upstream != nil {
+		o.gone = o.upstream
+		o.upstream = nil
+	}
+	o.endAll(Gone)
+	return o.actions
+}
+
+func (o *Owner) endAll(reason Reason) {
+	for key, e := range o.flows {
+		closed := e.closed()
+		o.end(key, e)
+		if !closed {
+			o.resetCaller(key, e.callerAck, reason)
+		}
+	}
+}
+
+func (o *Owner) resetCaller(key flow.Key, sequence uint32, reason Reason) {
+	o.actions = append(o.actions, Action{Verb: Reset, Reason: reason, Key: key, Sequence: sequence, Load: o.requests})
+}
+
+// Accepting reports whether the upstream takes new flows now, so that balancers
+// need not ask.
+func (o *Owner) Accepting() bool {
+	return o.upstream != nil && o.upstream.State == flow.Serving && !o.out && !o.stopping && o.unheard < silentAfter
+}
+
+// Silent reports whether the upstream leaves opening packets unanswered.
+func (o *Owner) Silent() bool {
+	return o.upstream != nil && o.unheard >= silentAfter
+}
+
+// Upstream returns the upstream's last announcement, or nil.
+func (o *Owner) Upstream() *flow.Announcement {
+	return o.upstream
+}
+
+// Requests returns how many requests the upstream works on or will soon.
+func (o *Owner) Requests() int {
+	return o.requests
+}
+
+// Flows returns how many flows are known.
+func (o *Owner) Flows() int {
+	return len(o.flows)
+}
+
+// TakeCompletions returns the requests that ended since the last call.
+func (o *Owner) TakeCompletions() []Completion {
+	done := o.finished
+	o.finished = nil
+	return done
+}
+
+// slots returns how many requests the upstream runs at once.
+func (o *Owner) slots() int {
+	if o.upstream == nil {
+		return 1
+	}
+	return max(1, o.upstream.Slots)
+}
--- /dev/null
+++ b/internal/coordination/steer/steer.go
@@ -0,0 +1,366 @@
+// Package steer decides at a balancer where the packets of forwarded flows go.
+// The fabric may hand any packet to any balancer, so what a balancer remembers
+// of flows is a cache: a packet of an unknown flow goes along the ranks of its
+// flow until the agent that has it answers with a note. It does no I/O.
+package steer
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+const (
+	// openTimeout is how long an agent has to note a new flow before the next
+	// one is tried. It is several round trips between failure domains and well
+	// under the 200 ms after which callers repeat an opening packet.
+	openTimeout = 60 * time.Millisecond
+
+	// choices is among how many of a flow's ranks the least loaded agent is
+	// chosen. A flow is found again within the ranks an envelope can name.
+	choices = 4
+
+	// maxFlows bounds the cache; about 100 bytes each.
+	maxFlows = 32768
+
+	// sweepEvery is the time between two passes over the cache.
+	sweepEvery = time.Second
+
+	// closedLinger is how long a flow is cached after its caller's last packet was seen.
+	closedLinger = 3 * time.Second
+
+	// defaultIdle is how long flows are cached while no configuration says it.
+	defaultIdle = 60 * time.Second
+)
+
+// Verb is what becomes of a packet.
+type Verb uint8
+
+// The verbs.
+const (
+	// Drop throws the packet away.
+	Drop Verb = iota
+	// Send forwards it in an envelope.
+	Send
+	// Reset tells the caller that the flow does not exist.
+	Reset
+)
+
+// Action is a decision on one packet. Reason is empty for packets of known flows.
+type Action struct {
+	Verb     Verb
+	Reason   Reason
+	Key      flow.Key
+	To       flow.Endpoint
+	Envelope hop.Envelope
+	Packet   []byte
+
+	// Sequence is that of a reset.
+	Sequence uint32
+
+	// Load is what is known of the chosen agent's load, and LoadAge its age.
+	Load    float64
+	LoadAge time.Duration
+}
+
+// Reason says why a packet went where it did.
+type Reason string
+
+// The reasons.
+const (
+	Placed      Reason = "placed"
+	PlacedNext  Reason = "placedNextAfterSilence"
+	Lookup      Reason = "lookup"
+	NoRoute     Reason = "noRoute"
+	NoUpstream  Reason = "noUpstream"
+	NotFound    Reason = "notFound"
+	RouteUnsure Reason = "noRouteConfigUnsure"
+	Malformed   Reason = "malformed"
+)
+
+type entry struct {
+	agent    flow.Endpoint
+	at       time.Time
+	sequence uint32 // of the opening packet, if it was seen
+	opened   bool   // the opening packet was seen
+	closing  bool
+}
+
+// open is an opening packet that no agent has noted yet.
+type open struct {
+	at       time.Time
+	packet   []byte
+	envelope hop.Envelope
+	agent    flow.Endpoint
+}
+
+// Steer decides for one balancer. It is not safe for concurrent use.
+type Steer struct {
+	self   flow.Endpoint
+	domain string
+
+	revision uint64
+	idle     time.Duration
+	routes   map[flow.Endpoint]*config.Route
+	services map[string]*service
+	agents   map[flow.Endpoint]*agent
+
+	flows map[flow.Key]*entry
+	opens map[flow.Key]*open
+
+	lastSweep time.Time
+	out       []Action
+}
+
+// New returns a Steer for the balancer at an address and failure domain.
+func New(self flow.Endpoint, domain string) *Steer {
+	return &Steer{
+		self:     self,
+		domain:   domain,
+		idle:     defaultIdle,
+		routes:   map[flow.Endpoint]*config.Route{},
+		services: map[string]*service{},
+		agents:   map[flow.Endpoint]*agent{},
+		flows:    map[flow.Key]*entry{},
+		opens:    map[flow.Key]*open{},
+	}
+}
+
+// Configure takes a newer configuration into use.
+func (s *Steer) Configure(cfg *config.Config) {
+	s.revision = cfg.Revision
+	if cfg.IdleTimeout > 0 {
+		s.idle = cfg.IdleTimeout.Duration()
+	}
+	s.routes = make(map[flow.Endpoint]*config.Route, len(cfg.Routes))
+	for i := range cfg.Routes {
+		s.routes[flow.EndpointOf(cfg.Routes[i].Address)] = &cfg.Routes[i]
+	}
+	for _, svc := range s.services {
+		svc.configure(cfg)
+	}
+}
+
+// Members takes the whole list of members into use.
+func (s *Steer) Members(cfg *config.Config, members []roster.Member) {
+	s.services = map[string]*service{}
+	known := map[flow.Endpoint]*agent{}
+	for i := range members {
+		m := &members[i]
+		if m.Role != roster.Agent {
+			continue
+		}
+		endpoint := flow.EndpointOf(m.Address)
+		a := s.agents[endpoint]
+		if a == nil || a.member.Incarnation != m.Incarnation {
+			a = &agent{endpoint: endpoint}
+		}
+		a.member = *m
+		known[endpoint] = a
+
+		svc := s.services[m.Service]
+		if svc == nil {
+			svc = &service{hash: config.ServiceHash(m.Service)}
+			s.services[m.Service] = svc
+		}
+		svc.agents = append(svc.agents, a)
+	}
+	s.agents = known
+	for _, svc := range s.services {
+		svc.configure(cfg)
+	}
+}
+
+// Agents returns how many agents take new flows.
+func (s *Steer) Agents() int {
+	count := 0
+	for _, svc := range s.services {
+		count += len(svc.eligible)
+	}
+	return count
+}
+
+// Flows returns how many flows are cached.
+func (s *Steer) Flows() int {
+	return len(s.flows)
+}
+
+// FromCaller decides on a packet that the fabric delivered. The actions are
+// valid until the next call.
+func (s *Steer) FromCaller(now time.Time, p *flow.Packet) []Action {
+	s.out = s.out[:0]
+	key := p.FromCaller()
+	route := s.routes[key.Service]
+	if route == nil {
+		s.refuse(key, p, NoRoute)
+		return s.out
+	}
+
+	if p.Opening() {
+		s.opening(now, key, p, route)
+		return s.out
+	}
+	s.following(now, key, p, route)
+	return s.out
+}
+
+// following routes a packet of a flow that should be open.
+func (s *Steer) following(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) {
+	e := s.flows[key]
+	if e != nil {
+		e.at = now
+		e.closing = e.closing || p.Finish || p.Reset
+		s.send(Action{Key: key, To: e.agent, Envelope: s.envelope(route, key, false), Packet: p.Raw})
+		return
+	}
+	s.lookup(now, key, p.Raw, route, flow.Endpoint{})
+}
+
+// lookup sends a packet along the ranks of its flow until an agent knows it.
+func (s *Steer) lookup(now time.Time, key flow.Key, packet []byte, route *config.Route, except flow.Endpoint) {
+	envelope := s.envelope(route, key, true)
+	svc := s.services[route.Pick(key.Hash())]
+	if svc != nil {
+		svc.holders(key.Hash(), except, &envelope)
+	}
+	to, ok := envelope.Next()
+	if !ok {
+		s.out = append(s.out, Action{Verb: Drop, Reason: NoUpstream, Key: key})
+		return
+	}
+	envelope.Tried = 0
+	s.send(Action{Reason: Lookup, Key: key, To: to, Envelope: envelope, Packet: packet})
+}
+
+func (s *Steer) envelope(route *config.Route, key flow.Key, wantNote bool) hop.Envelope {
+	return hop.Envelope{
+		Kind:     hop.Carry,
+		Revision: s.revision,
+		Service:  config.ServiceHash(route.Pick(key.Hash())),
+		Balancer: s.self,
+		WantNote: wantNote,
+	}
+}
+
+func (s *Steer) refuse(key flow.Key, p *flow.Packet, reason Reason) {
+	if p.Reset || s.revision == 0 {
+		s.out = append(s.out, Action{Verb: Drop, Reason: reason, Key: key})
+		return
+	}
+	s.out = append(s.out, Action{Verb: Reset, Reason: reason, Key: key, Sequence: resetSequence(p)})
+}
+
+func resetSequence(p *flow.Packet) uint32 {
+	if p.Opening() {
+		return 0
+	}
+	return p.Acknowledged
+}
+
+func (s *Steer) send(a Action) {
+	a.Verb = Send
+	s.out = append(s.out, a)
+}
+
+// FromAgent takes a note, or a packet that comes back.
+func (s *Steer) FromAgent(now time.Time, e *hop.Envelope, payload []byte, parse func([]byte) (flow.Packet, error)) []Action {
+	s.out = s.out[:0]
+	switch e.Kind {
+	case hop.Note:
+		s.note(now, e, flow.KeyAt(payload))
+	case hop.Return:
+		p, err := parse(payload)
+		if err != nil {
+			s.out = append(s.out, Action{Verb: Drop, Reason: Malformed})
+			break
+		}
+		s.returned(now, e, &p)
+	}
+	return s.out
+}
+
+func (s *Steer) note(now time.Time, e *hop.Envelope, key flow.Key) {
+	if a := s.agents[e.Agent]; a != nil {
+		a.report(now, e)
+	}
+
+	pending := s.opens[key]
+	delete(s.opens, key)
+	if e.Refused {
+		delete(s.flows, key)
+		return
+	}
+
+	known := s.flows[key]
+	if known == nil {
+		if len(s.flows) >= maxFlows {
+			return
+		}
+		known = &entry{}
+		s.flows[key] = known
+	}
+	if pending != nil {
+		known.opened = true
+	}
+	known.agent = e.Agent
+	known.at = now
+}
+
+// returned handles a packet of a flow that the agents asked do not have.
+func (s *Steer) returned(now time.Time, e *hop.Envelope, p *flow.Packet) {
+	key := p.FromCaller()
+	route := s.routes[key.Service]
+	if route == nil {
+		s.refuse(key, p, NoRoute)
+		return
+	}
+	if p.Opening() || e.WantNote {
+		s.out = append(s.out, Action{Verb: Drop, Reason: NotFound, Key: key})
+		return
+	}
+
+	if known := s.flows[key]; known != nil && known.agent == e.Agent {
+		delete(s.flows, key)
+	}
+	s.lookup(now, key, p.Raw, route, e.Agent)
+}
+
+// Due returns when Tick has something to do, and false if it has nothing.
+func (s *Steer) Due() (time.Time, bool) {
+	var due time.Time
+	for _, o := range s.opens {
+		if at := o.at.Add(openTimeout); due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	return due, !due.IsZero()
+}
+
+// Tick tries the next agent for opening packets that were not noted in time,
+// and forgets flows that have ended.
+func (s *Steer) Tick(now time.Time) []Action {
+	s.out = s.out[:0]
+	for key, o := range s.opens {
+		if now.Sub(o.at) >= openTimeout {
+			s.retry(now, key, o)
+		}
+	}
+	s.sweep(now)
+	return s.out
+}
+
+func (s *Steer) sweep(now time.Time) {
+	if now.Sub(s.lastSweep) < sweepEvery {
+		return
+	}
+	s.lastSweep = now
+	for key, e := range s.flows {
+		idle := now.Sub(e.at)
+		if idle > s.idle || (e.closing && idle > closedLinger) {
+			delete(s.flows, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/hop/hop.go
@@ -0,0 +1,193 @@
+// Package hop encodes what balancers and agents tell each other about forwarded
+// flows: packets under way to the upstream that holds their flow, and notes.
+package hop
+
+import (
+	"encoding/binary"
+
+	"github.com/dchest/siphash"
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+)
+
+// Kind tells what an envelope is for. The values differ from those of package
+// encap, since both share a socket.
+type Kind byte
+
+// The kinds.
+const (
+	// Carry takes a caller's packet to an agent.
+	Carry Kind = 16
+	// Note tells a balancer which agent has a flow, and the agent's load.
+	Note Kind = 17
+	// Return gives a packet back to the balancer: no agent that was asked has its flow.
+	Return Kind = 18
+)
+
+// MaxRanks is the largest number of further agents that an envelope names.
+const MaxRanks = 11
+
+const (
+	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 2 + 2
+	rankLength  = 6
+	tagLength   = 8
+
+	flagWantNote = 1
+	flagRefused  = 2
+	flagFound    = 4
+)
+
+// Errors of Open.
+var (
+	ErrTruncated = errors.New("envelope is truncated")
+	ErrKind      = errors.New("envelope has an unknown kind")
+	ErrRanks     = errors.New("envelope names too many ranks")
+	ErrForged    = errors.New("envelope fails its check")
+)
+
+// Envelope is the head of a message between a balancer and an agent.
+type Envelope struct {
+	Kind Kind
+
+	// Revision is the sender's configuration.
+	Revision uint64
+
+	// Service is the hash of the service's name.
+	Service uint32
+
+	// Balancer is where notes and returned packets go.
+	Balancer flow.Endpoint
+
+	// Agent is the sender of a Note or Return.
+	Agent flow.Endpoint
+
+	// WantNote asks the agent that has the flow for a note.
+	WantNote bool
+
+	// Refused says in a note that the flow was refused and its caller reset.
+	Refused bool
+
+	// Found says in a note that the flow was open already.
+	Found bool
+
+	// Tried counts the agents that had the packet before.
+	Tried uint8
+
+	// Load and Slots are the agent's, in requests.
+	Load, Slots uint16
+
+	// Ranks are the agents to try next, in order; only the first Count are set.
+	Ranks [MaxRanks]flow.Endpoint
+	Count int
+}
+
+// Next takes the next agent off the ranks.
+func (e *Envelope) Next() (flow.Endpoint, bool) {
+	if e.Count == 0 {
+		return flow.Endpoint{}, false
+	}
+	next := e.Ranks[0]
+	copy(e.Ranks[:], e.Ranks[1:e.Count])
+	e.Count--
+	e.Tried++
+	return next, true
+}
+
+// Codec writes and reads envelopes. The check tells stray datagrams from
+// envelopes; it does not cover the payload, which its own ends check.
+type Codec struct {
+	k0, k1 uint64
+}
+
+// New returns a Codec under the cluster key.
+func New(set keyset.Set) *Codec {
+	key := keyset.Derive(set.Cluster, "hop tag", 16)
+	return &Codec{k0: binary.LittleEndian.Uint64(key), k1: binary.LittleEndian.Uint64(key[8:])}
+}
+
+// Append adds the envelope and its payload to dst. The payload of a Note is the flow's key.
+func (c *Codec) Append(dst []byte, e *Envelope, payload []byte) []byte {
+	start := len(dst)
+	dst = append(dst, byte(e.Kind), byte(e.Count), e.flags(), e.Tried)
+	dst = binary.BigEndian.AppendUint64(dst, e.Revision)
+	dst = binary.BigEndian.AppendUint32(dst, e.Service)
+	dst = appendEndpoint(dst, e.Balancer)
+	dst = appendEndpoint(dst, e.Agent)
+	dst = binary.BigEndian.AppendUint16(dst, e.Load)
+	dst = binary.BigEndian.AppendUint16(dst, e.Slots)
+	for _, rank := range e.Ranks[:e.Count] {
+		dst = appendEndpoint(dst, rank)
+	}
+
+	dst = binary.BigEndian.AppendUint64(dst, siphash.Hash(c.k0, c.k1, dst[start:]))
+	return append(dst, payload...)
+}
+
+// Open reads a datagram. The payload refers to it.
+func (c *Codec) Open(datagram []byte) (Envelope, []byte, error) {
+	if len(datagram) < fixedLength+tagLength {
+		return Envelope{}, nil, ErrTruncated
+	}
+	e := Envelope{Kind: Kind(datagram[0]), Count: int(datagram[1]), Tried: datagram[3]}
+	if e.Kind != Carry && e.Kind != Note && e.Kind != Return {
+		return Envelope{}, nil, ErrKind
+	}
+	if e.Count > MaxRanks {
+		return Envelope{}, nil, ErrRanks
+	}
+
+	end := fixedLength + e.Count*rankLength
+	if len(datagram) < end+tagLength {
+		return Envelope{}, nil, ErrTruncated
+	}
+	if siphash.Hash(c.k0, c.k1, datagram[:end]) != binary.BigEndian.Uint64(datagram[end:]) {
+		return Envelope{}, nil, ErrForged
+	}
+
+	e.read(datagram)
+	payload := datagram[end+tagLength:]
+	if e.Kind == Note && len(payload) != flow.KeyLength {
+		return Envelope{}, nil, ErrTruncated
+	}
+	return e, payload, nil
+}
+
+func (e *Envelope) read(datagram []byte) {
+	e.WantNote = datagram[2]&flagWantNote != 0
+	e.Refused = datagram[2]&flagRefused != 0
+	e.Found = datagram[2]&flagFound != 0
+	e.Revision = binary.BigEndian.Uint64(datagram[4:])
+	e.Service = binary.BigEndian.Uint32(datagram[12:])
+	e.Balancer = endpointAt(datagram[16:])
+	e.Agent = endpointAt(datagram[22:])
+	e.Load = binary.BigEndian.Uint16(datagram[28:])
+	e.Slots = binary.BigEndian.Uint16(datagram[30:])
+	for i := range e.Count {
+		e.Ranks[i] = endpointAt(datagram[fixedLength+i*rankLength:])
+	}
+}
+
+func (e *Envelope) flags() byte {
+	var flags byte
+	if e.WantNote {
+		flags |= flagWantNote
+	}
+	if e.Refused {
+		flags |= flagRefused
+	}
+	if e.Found {
+		flags |= flagFound
+	}
+	return flags
+}
+
+func appendEndpoint(dst []byte, e flow.Endpoint) []byte {
+	dst = append(dst, e.IP[:]...)
+	return binary.BigEndian.AppendUint16(dst, e.Port)
+}
+
+func endpointAt(data []byte) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte(data[:4]), Port: binary.BigEndian.Uint16(data[4:])}
+}
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -25,6 +25,12 @@
 
 	// Drained are the names of upstreams that take no new work, sorted.
 	Drained []string `json:"drained,omitempty"`
+
+	// Routes are those of forwarded flows, sorted by name.
+	Routes []Route `json:"routes,omitempty"`
+
+	// IdleTimeout is how long a forwarded flow may be idle before it may be forgotten.
+	IdleTimeout Milliseconds `json:"idleTimeoutMs,omitempty"`
 }
 
 // Domain is a failure domain.
@@ -71,6 +77,9 @@
 
 	// Queue is the number of requests that may wait for a slot.
 	Queue int `json:"queue"`
+
+	// ColdPerSecond is how many new flows a cold upstream bears in any second; 0 is no bound.
+	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
 }
 
 // Class is a kind of request that is admitted alike.
--- /dev/null
+++ b/internal/state/flow/flow.go
@@ -0,0 +1,119 @@
+// Package flow holds the values of forwarded flows: streams of sealed datagrams
+// between a caller and an upstream that nobody between them may change or end.
+package flow
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Endpoint is an IPv4 address and port. It holds no pointer, so that tables
+// keyed by it cost the garbage collector nothing.
+type Endpoint struct {
+	IP   [4]byte
+	Port uint16
+}
+
+// EndpointOf returns the Endpoint of an IPv4 address and port; the zero Endpoint for any other.
+func EndpointOf(address netip.AddrPort) Endpoint {
+	ip := address.Addr().Unmap()
+	if !ip.Is4() {
+		return Endpoint{}
+	}
+	return Endpoint{IP: ip.As4(), Port: address.Port()}
+}
+
+// AddrPort returns e in the form that sockets take.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port)
+}
+
+// IsZero reports whether e names nothing.
+func (e Endpoint) IsZero() bool {
+	return e == Endpoint{}
+}
+
+// String returns the usual text form.
+func (e Endpoint) String() string {
+	return fmt.Sprintf("%d.%d.%d.%d:%d", e.IP[0], e.IP[1], e.IP[2], e.IP[3], e.Port)
+}
+
+// Key names a flow, whichever way a packet of it goes.
+type Key struct {
+	Caller  Endpoint
+	Service Endpoint
+}
+
+// KeyLength is the length of an encoded Key in bytes.
+const KeyLength = 12
+
+// Append adds the encoded key to dst.
+func (k Key) Append(dst []byte) []byte {
+	dst = append(dst, k.Caller.IP[:]...)
+	dst = binary.BigEndian.AppendUint16(dst, k.Caller.Port)
+	dst = append(dst, k.Service.IP[:]...)
+	return binary.BigEndian.AppendUint16(dst, k.Service.Port)
+}
+
+// KeyAt reads a key from the first KeyLength bytes of data.
+func KeyAt(data []byte) Key {
+	return Key{
+		Caller:  Endpoint{IP: [4]byte(data[:4]), Port: binary.BigEndian.Uint16(data[4:])},
+		Service: Endpoint{IP: [4]byte(data[6:10]), Port: binary.BigEndian.Uint16(data[10:])},
+	}
+}
+
+// Hash returns a well-spread hash, the same in every process.
+func (k Key) Hash() uint64 {
+	var data [KeyLength]byte
+	return xxhash.Sum64(k.Append(data[:0]))
+}
+
+// String identifies the flow in logs.
+func (k Key) String() string {
+	return k.Caller.String() + ">" + k.Service.String()
+}
+
+// Packet is what the head of a datagram says.
+type Packet struct {
+	Source      Endpoint
+	Destination Endpoint
+
+	// Open, Ack, Finish and Reset are the flags of the transport inside.
+	Open, Ack, Finish, Reset bool
+
+	// Bounced says that the upstream returned a caller's packet that it does not take.
+	Bounced bool
+
+	// Sequence and Acknowledged count bytes of the stream, from a random start.
+	// In a caller's opening packet Acknowledged counts its copies.
+	Sequence     uint32
+	Acknowledged uint32
+
+	// Tag comes back unchanged on a bounced packet; 0 otherwise.
+	Tag uint32
+
+	// Length is that of the data, in bytes.
+	Length int
+
+	// Raw is the whole datagram.
+	Raw []byte
+}
+
+// Opening reports whether the packet asks for a new flow.
+func (p *Packet) Opening() bool {
+	return p.Open && !p.Ack && !p.Reset
+}
+
+// FromCaller returns the flow of a packet that its caller sent.
+func (p *Packet) FromCaller() Key {
+	return Key{Caller: p.Source, Service: p.Destination}
+}
+
+// FromUpstream returns the flow of a packet that its upstream sent.
+func (p *Packet) FromUpstream() Key {
+	return Key{Caller: p.Destination, Service: p.Source}
+}
--- /dev/null
+++ b/internal/state/setup/forward.go
@@ -0,0 +1,166 @@
+package setup
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+)
+
+// Forward is the settings of a daemon for forwarded flows. Exactly one of
+// Balancer and Agent is set.
+type Forward struct {
+	// Name is the operators' name of the VM.
+	Name string `json:"name"`
+
+	// Domain is the name of the failure domain.
+	Domain string `json:"domain"`
+
+	// Address takes datagrams of the system's other processes, and hands out the
+	// configuration to them over TCP; IPv4 and port, the same port on all VMs.
+	Address netip.AddrPort `json:"address"`
+
+	// Metrics serves /metrics over TCP.
+	Metrics netip.AddrPort `json:"metrics"`
+
+	// Store is the IP address and port of the platform's store.
+	Store netip.AddrPort `json:"store"`
+
+	// Seeds are VMs of balancers to turn to first. Their ports do not count.
+	Seeds []netip.AddrPort `json:"seeds,omitempty"`
+
+	// ClusterKey, 64 hexadecimal digits, is shared by the system's processes.
+	ClusterKey string `json:"clusterKey"`
+
+	// LogLevel is debug, info, warn or error; info if empty.
+	LogLevel string `json:"logLevel,omitempty"`
+
+	Balancer *ForwardBalancer `json:"balancer,omitempty"`
+	Agent    *ForwardAgent    `json:"agent,omitempty"`
+}
+
+// ForwardBalancer is the settings of a balancer alone.
+type ForwardBalancer struct {
+	// Callers is where the fabric delivers packets.
+	Callers netip.AddrPort `json:"callers"`
+
+	// Ready answers the fabric's probes over TCP.
+	Ready netip.AddrPort `json:"ready"`
+
+	// Withdraw is how long a stopping balancer still forwards after it tells the fabric.
+	Withdraw Duration `json:"withdraw,omitempty"`
+}
+
+// ForwardAgent is the settings of an agent alone.
+type ForwardAgent struct {
+	// Service is the name of the service that the upstream serves.
+	Service string `json:"service"`
+
+	// Upstream takes packets of the agent; Outbound takes those of the upstream.
+	Upstream netip.AddrPort `json:"upstream"`
+	Outbound netip.AddrPort `json:"outbound"`
+
+	// Announcements takes the upstream's heartbeats over TCP.
+	Announcements netip.AddrPort `json:"announcements"`
+
+	// Callers is an address with the port on which callers take packets.
+	Callers netip.AddrPort `json:"callers"`
+
+	// Drain bounds the wait for requests in progress when the agent stops.
+	Drain Duration `json:"drain,omitempty"`
+}
+
+// Defaults for fields of Forward that are left out.
+const (
+	// defaultForwardWithdraw covers two missed probes of the fabric, half a second apart.
+	defaultForwardWithdraw = Duration(2500 * time.Millisecond)
+
+	// defaultForwardDrain leaves a second of the six that VMs give a stopping process.
+	defaultForwardDrain = Duration(4500 * time.Millisecond)
+)
+
+// LoadForward reads and checks a file. The error names every fault found, with file, line and field.
+func LoadForward(path string) (*Forward, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return ParseForward(path, data)
+}
+
+// ParseForward reads and checks settings. The path is used in errors only.
+func ParseForward(path string, data []byte) (*Forward, error) {
+	doc, err := newDocument(path, data)
+	if err != nil {
+		return nil, err
+	}
+
+	f := &Forward{}
+	doc.checkFields(f)
+	if err := json.Unmarshal(doc.standard, f); err != nil {
+		doc.addDecode(err)
+		return nil, doc.err()
+	}
+	f.fillDefaults()
+	f.check(doc)
+	return f, doc.err()
+}
+
+// Keys returns the keys that the system's processes share.
+func (f *Forward) Keys() keyset.Set {
+	key, err := hex.DecodeString(f.ClusterKey)
+	if err != nil {
+		panic(err) // the settings were checked
+	}
+	return keyset.Set{Cluster: key}
+}
+
+func (f *Forward) fillDefaults() {
+	if f.Balancer != nil && f.Balancer.Withdraw == 0 {
+		f.Balancer.Withdraw = defaultForwardWithdraw
+	}
+	if f.Agent != nil && f.Agent.Drain == 0 {
+		f.Agent.Drain = defaultForwardDrain
+	}
+}
+
+func (f *Forward) check(doc *document) {
+	doc.require("name", f.Name != "", "must be set")
+	doc.require("domain", f.Domain != "", "must be set")
+	doc.require("logLevel", knownLevel(f.LogLevel), "must be debug, info, warn or error")
+	doc.requireIPv4("address", f.Address)
+	doc.require("metrics", f.Metrics.IsValid(), "must be an IP address and port")
+	doc.requireIPv4("store", f.Store)
+	key, err := hex.DecodeString(f.ClusterKey)
+	doc.require("clusterKey", err == nil && len(key) == keyset.KeyLength, "must be 64 hexadecimal digits")
+
+	doc.require("balancer", (f.Balancer == nil) != (f.Agent == nil), "exactly one of balancer and agent must be set")
+	if f.Balancer != nil {
+		doc.requireIPv4("balancer.callers", f.Balancer.Callers)
+		doc.requireIPv4("balancer.ready", f.Balancer.Ready)
+		doc.require("balancer.withdraw", f.Balancer.Withdraw >= 0, "must not be negative")
+		doc.require("balancer.callers", f.Balancer.Callers != f.Address, "is in use by address already")
+	}
+	if f.Agent != nil {
+		f.Agent.check(doc)
+		doc.require("agent.outbound", f.Agent.Outbound != f.Address, "is in use by address already")
+	}
+}
+
+func (a *ForwardAgent) check(doc *document) {
+	doc.require("agent.service", a.Service != "", "must be set")
+	doc.requireIPv4("agent.upstream", a.Upstream)
+	doc.requireIPv4("agent.outbound", a.Outbound)
+	doc.requireIPv4("agent.announcements", a.Announcements)
+	doc.requireIPv4("agent.callers", a.Callers)
+	doc.require("agent.drain", a.Drain >= 0, "must not be negative")
+}
+
+func (d *document) requireIPv4(field string, address netip.AddrPort) {
+	d.require(field, address.IsValid() && address.Addr().Is4(), "must be an IPv4 address and port")
+}
--- /dev/null
+++ b/internal/transport/inlet/inlet.go
@@ -0,0 +1,244 @@
+// Package inlet runs a balancer of forwarded flows: it moves packets between
+// the fabric's socket, the agents and the decisions of package steer.
+package inlet
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/coordination/steer"
+	"github.com/coriandershift/coriandershift/internal/protocol/encap"
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+)
+
+const (
+	// maxDatagram holds the longest packet in its longest envelope, in bytes.
+	maxDatagram = 2048
+
+	// sweepEvery is the time between two ticks without anything due.
+	sweepEvery = time.Second
+)
+
+// Inlet is one balancer. It is safe for concurrent use.
+type Inlet struct {
+	log     *slog.Logger
+	metrics *metric.Set
+	link    *link.Link
+	packets coriandershift.Packets
+	codec   *hop.Codec
+	callers *net.UDPConn
+
+	mu       sync.Mutex
+	core     *steer.Steer
+	revision uint64
+	timer    *time.Timer
+	due      time.Time
+	buffer   []byte
+}
+
+// Options are what an Inlet needs.
+type Options struct {
+	Log     *slog.Logger
+	Metrics *metric.Set
+	Link    *link.Link
+	Packets coriandershift.Packets
+	Keys    keyset.Set
+
+	// Callers is where the fabric delivers packets. Callers take theirs on the same port.
+	Callers netip.AddrPort
+}
+
+// Listen opens the fabric's socket.
+func Listen(o Options) (*Inlet, error) {
+	callers, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Callers))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for callers on %s", o.Callers)
+	}
+
+	self := o.Link.Self()
+	return &Inlet{
+		log:     o.Log,
+		metrics: o.Metrics,
+		link:    o.Link,
+		packets: o.Packets,
+		codec:   hop.New(o.Keys),
+		callers: callers,
+		core:    steer.New(flow.EndpointOf(self.Address), self.Domain),
+		buffer:  make([]byte, 0, maxDatagram),
+	}, nil
+}
+
+// Run forwards until the context ends or a socket fails.
+func (n *Inlet) Run(ctx context.Context) error {
+	n.timer = time.NewTimer(sweepEvery)
+	go n.link.Run(ctx)
+	go n.follow(ctx)
+	go n.tick(ctx)
+
+	failed := make(chan error, 2)
+	go func() { failed <- n.readCallers() }()
+	go func() { failed <- n.readLink() }()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// Ready reports whether packets would be routed right: a configuration and
+// agents are known.
+func (n *Inlet) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.revision > 0 && n.core.Agents() > 0
+}
+
+func (n *Inlet) readCallers() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		count, _, err := n.callers.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return errors.Wrap(err, "read from the fabric")
+		}
+
+		p, err := n.packets.Parse(buffer[:count])
+		if err != nil {
+			n.metrics.Dropped.WithLabelValues(string(steer.Malformed)).Inc()
+			continue
+		}
+		n.mu.Lock()
+		n.carryOut(n.core.FromCaller(time.Now(), &p))
+		n.mu.Unlock()
+	}
+}
+
+func (n *Inlet) readLink() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		count, _, err := n.link.Conn().ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return errors.Wrap(err, "read from the other processes")
+		}
+		if count > 0 && buffer[0] == byte(encap.Control) {
+			n.link.Control(buffer[:count])
+			continue
+		}
+
+		e, payload, err := n.codec.Open(buffer[:count])
+		if err != nil {
+			n.metrics.Dropped.WithLabelValues(string(steer.Malformed)).Inc()
+			continue
+		}
+		n.mu.Lock()
+		n.carryOut(n.core.FromAgent(time.Now(), &e, payload, n.packets.Parse))
+		n.mu.Unlock()
+	}
+}
+
+// follow takes changes of the configuration and the members into use.
+func (n *Inlet) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.link.Changed():
+			n.apply()
+		}
+	}
+}
+
+func (n *Inlet) apply() {
+	cfg, members := n.link.Config(), n.link.Members()
+	n.link.TakeChanged()
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if cfg.Revision != n.revision {
+		n.revision = cfg.Revision
+		n.core.Configure(cfg)
+	}
+	n.core.Members(cfg, members)
+	n.metrics.Members.Set(float64(len(members)))
+}
+
+func (n *Inlet) tick(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.timer.C:
+		}
+		n.mu.Lock()
+		n.due = time.Time{}
+		n.carryOut(n.core.Tick(time.Now()))
+		n.metrics.Connections.Set(float64(n.core.Flows()))
+		if n.due.IsZero() {
+			n.timer.Reset(sweepEvery)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// carryOut must be called with the lock held.
+func (n *Inlet) carryOut(actions []steer.Action) {
+	for i := range actions {
+		n.act(&actions[i])
+	}
+	due, waiting := n.core.Due()
+	if waiting && (n.due.IsZero() || due.Before(n.due)) {
+		n.due = due
+		n.timer.Reset(time.Until(due))
+	}
+}
+
+func (n *Inlet) act(a *steer.Action) {
+	switch a.Verb {
+	case steer.Send:
+		n.buffer = n.codec.Append(n.buffer[:0], &a.Envelope, a.Packet)
+		n.write(n.link.Conn(), n.buffer, a.To.AddrPort())
+	case steer.Reset:
+		n.buffer = n.packets.Reset(n.buffer[:0], a.Key, a.Sequence)
+		n.write(n.callers, n.buffer, netip.AddrPortFrom(netip.AddrFrom4(a.Key.Caller.IP), n.callerPort()))
+	}
+	n.note(a)
+}
+
+// note logs and counts a decision. Packets of known flows are only counted.
+func (n *Inlet) note(a *steer.Action) {
+	if a.Reason == "" {
+		n.metrics.Datagrams.WithLabelValues("known").Inc()
+		return
+	}
+	n.metrics.Datagrams.WithLabelValues(string(a.Reason)).Inc()
+	if a.Verb == steer.Send {
+		n.log.Info("flow routed", "flow", a.Key, "reason", string(a.Reason), "agent", a.To,
+			"load", a.Load, "loadAge", a.LoadAge.Round(time.Millisecond), "revision", n.revision)
+		return
+	}
+	n.metrics.Dropped.WithLabelValues(string(a.Reason)).Inc()
+	n.log.Info("flow not routed", "flow", a.Key, "reason", string(a.Reason), "reset", a.Verb == steer.Reset,
+		"revision", n.revision, "agents", n.core.Agents())
+}
+
+func (n *Inlet) write(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		n.metrics.Dropped.WithLabelValues("writeFailed").Inc()
+		n.log.Debug("datagram not sent", "to", to, "error", err)
+	}
+}
+
+func (n *Inlet) callerPort() uint16 {
+	return n.callers.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
--- a/internal/transport/link/seed.go
+++ b/internal/transport/link/seed.go
@@ -62,3 +62,10 @@
 	defer l.mu.Unlock()
 	l.node.SetSeeds(seeds)
 }
+
+// SetSeeds names balancers to turn to when no home answers.
+func (l *Link) SetSeeds(seeds []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SetSeeds(seeds)
+}
--- /dev/null
+++ b/internal/transport/link/source.go
@@ -0,0 +1,77 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"github.com/coriandershift/coriandershift"
+)
+
+const (
+	// sourcePause is the time between two attempts to read the operators'
+	// configuration while the store does not answer. Changes must be in force
+	// within seconds of its return.
+	sourcePause = 500 * time.Millisecond
+
+	// sourceIdle is how often a process that leaves the watch to others looks
+	// whether it has become a watcher.
+	sourceIdle = time.Second
+)
+
+// FollowOperators keeps the operators' configuration in force. Two balancers of
+// each failure domain, the first on the ring, wait at the store; the others hear
+// of changes from them, and read once for themselves when they start.
+func (l *Link) FollowOperators(ctx context.Context, operators coriandershift.Operators) {
+	connected := true
+	for ctx.Err() == nil {
+		if l.rank() >= watchersPerDomain && l.Config().Revision > 0 && !l.isolated() {
+			sleep(ctx, sourceIdle)
+			continue
+		}
+
+		err := l.followOnce(ctx, operators)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err == nil) != connected {
+			connected = err == nil
+			l.noteStore(err)
+		}
+		if err != nil {
+			sleep(ctx, sourcePause)
+		}
+	}
+}
+
+// followOnce reads the configuration and waits for one change.
+func (l *Link) followOnce(ctx context.Context, operators coriandershift.Operators) error {
+	cfg, err := operators.Load(ctx)
+	if err != nil {
+		return err
+	}
+	l.Adopt(cfg, "store")
+
+	after := cfg.Revision
+	for ctx.Err() == nil {
+		changed, next, err := operators.Wait(ctx, after)
+		if err != nil || changed {
+			return err
+		}
+		after = next
+	}
+	return nil
+}
+
+func (l *Link) noteStore(err error) {
+	if err != nil {
+		l.log.Warn("store lost", "revision", l.Config().Revision, "error", err)
+		return
+	}
+	l.log.Info("store regained", "revision", l.Config().Revision)
+}
+
+func (l *Link) isolated() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Isolated(time.Now())
+}
--- /dev/null
+++ b/internal/transport/outlet/act.go
@@ -0,0 +1,115 @@
+package outlet
+
+import (
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+)
+
+const (
+	// probeTimeout bounds the connection that asks whether anything listens at
+	// the upstream's address. It is on the same VM.
+	probeTimeout = 500 * time.Millisecond
+
+	// probePause is the time between two probes of a silent upstream.
+	probePause = time.Second
+)
+
+// carryOut must be called with the lock held.
+func (t *Outlet) carryOut(actions []owner.Action) {
+	for i := range actions {
+		t.act(&actions[i])
+	}
+	due, waiting := t.core.Due()
+	if waiting && (t.due.IsZero() || due.Before(t.due)) {
+		t.due = due
+		t.timer.Reset(time.Until(due))
+	}
+}
+
+func (t *Outlet) act(a *owner.Action) {
+	switch a.Verb {
+	case owner.Deliver:
+		t.packets.Mark(a.Packet, a.Tag)
+		t.write(t.conn, a.Packet, t.upstream)
+	case owner.Answer:
+		t.write(t.conn, a.Packet, t.caller(a))
+	case owner.Forward:
+		t.packets.Mark(a.Packet, 0)
+		t.buffer = t.codec.Append(t.buffer[:0], &a.Envelope, a.Packet)
+		t.write(t.link.Conn(), t.buffer, a.To.AddrPort())
+	case owner.Tell:
+		t.buffer = t.codec.Append(t.buffer[:0], &a.Envelope, a.Key.Append(nil))
+		t.write(t.link.Conn(), t.buffer, a.To.AddrPort())
+	case owner.Reset:
+		t.buffer = t.packets.Reset(t.buffer[:0], a.Key, a.Sequence)
+		t.write(t.conn, t.buffer, t.caller(a))
+	}
+	t.note(a)
+}
+
+func (t *Outlet) caller(a *owner.Action) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(a.Key.Caller.IP), t.port)
+}
+
+// note logs and counts a decision. Packets of known flows are only counted.
+func (t *Outlet) note(a *owner.Action) {
+	if a.Reason == "" {
+		return
+	}
+	t.metrics.Datagrams.WithLabelValues(string(a.Reason)).Inc()
+	switch a.Verb {
+	case owner.Forward:
+		t.log.Info("flow handed on", "flow", a.Key, "reason", string(a.Reason), "to", a.To, "tried", a.Envelope.Tried,
+			"load", a.Load, "revision", t.revision)
+	case owner.Reset:
+		t.metrics.Broken.WithLabelValues(string(a.Reason)).Inc()
+		t.log.Info("caller reset", "flow", a.Key, "reason", string(a.Reason), "load", a.Load, "revision", t.revision)
+	case owner.Drop:
+		t.metrics.Dropped.WithLabelValues(string(a.Reason)).Inc()
+		t.log.Info("packet dropped", "flow", a.Key, "reason", string(a.Reason), "load", a.Load, "revision", t.revision)
+	default:
+		t.log.Info("flow taken", "flow", a.Key, "reason", string(a.Reason), "load", a.Load, "revision", t.revision)
+	}
+}
+
+// observe counts the requests that ended.
+func (t *Outlet) observe() {
+	for _, done := range t.core.TakeCompletions() {
+		t.metrics.Requests.WithLabelValues(t.service, string(done.Kind), "answered").Inc()
+		t.metrics.Latency.WithLabelValues(t.service, string(done.Kind)).Observe(done.Took.Seconds())
+	}
+}
+
+func (t *Outlet) write(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		t.metrics.Dropped.WithLabelValues("writeFailed").Inc()
+		t.log.Debug("datagram not sent", "to", to, "error", err)
+	}
+}
+
+// probe finds out whether a silent upstream is gone: a refused connection shows
+// that nothing listens at its address.
+func (t *Outlet) probe() {
+	conn, err := net.DialTimeout("tcp4", t.upstream.String(), probeTimeout)
+	if err == nil {
+		conn.Close()
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		t.mu.Lock()
+		t.log.Warn("upstream gone", "address", t.upstream, "error", err)
+		t.carryOut(t.core.Ended())
+		t.weigh()
+		t.mu.Unlock()
+	}
+
+	time.Sleep(probePause)
+	t.mu.Lock()
+	t.probing = false
+	t.mu.Unlock()
+}
--- /dev/null
+++ b/internal/transport/outlet/outlet.go
@@ -0,0 +1,278 @@
+// Package outlet runs an agent of forwarded flows: it moves packets between the
+// balancers, the upstream and the callers as package owner decides.
+package outlet
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+	"github.com/coriandershift/coriandershift/internal/protocol/encap"
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+)
+
+const (
+	// maxDatagram holds the longest packet in its longest envelope, in bytes.
+	maxDatagram = 2048
+
+	// sweepEvery is the time between two ticks without anything due.
+	sweepEvery = time.Second
+
+	// stopPoll is how often a stopping agent looks whether its requests have ended.
+	stopPoll = 50 * time.Millisecond
+)
+
+// Outlet is one agent. It is safe for concurrent use.
+type Outlet struct {
+	log      *slog.Logger
+	metrics  *metric.Set
+	link     *link.Link
+	packets  coriandershift.Packets
+	codec    *hop.Codec
+	conn     *net.UDPConn
+	upstream netip.AddrPort
+	port     uint16
+	service  string
+
+	mu        sync.Mutex
+	core      *owner.Owner
+	revision  uint64
+	accepting bool
+	timer     *time.Timer
+	due       time.Time
+	buffer    []byte
+	probing   bool
+}
+
+// Options are what an Outlet needs.
+type Options struct {
+	Log     *slog.Logger
+	Metrics *metric.Set
+	Link    *link.Link
+	Packets coriandershift.Packets
+	Keys    keyset.Set
+	Service string
+
+	// Upstream takes packets and TCP connections; Outbound is where it sends its own.
+	Upstream, Outbound netip.AddrPort
+
+	// CallerPort is the port on which callers take packets.
+	CallerPort uint16
+}
+
+// Listen opens the upstream's socket.
+func Listen(o Options) (*Outlet, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Outbound))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for the upstream on %s", o.Outbound)
+	}
+
+	self := o.Link.Self()
+	settings := owner.Settings{Self: flow.EndpointOf(self.Address), Domain: self.Domain, Service: o.Service}
+	return &Outlet{
+		log:      o.Log,
+		metrics:  o.Metrics,
+		link:     o.Link,
+		packets:  o.Packets,
+		codec:    hop.New(o.Keys),
+		conn:     conn,
+		upstream: o.Upstream,
+		port:     o.CallerPort,
+		service:  o.Service,
+		core:     owner.New(settings, time.Now()),
+		buffer:   make([]byte, 0, maxDatagram),
+	}, nil
+}
+
+// Run serves until the context ends or a socket fails.
+func (t *Outlet) Run(ctx context.Context) error {
+	t.timer = time.NewTimer(sweepEvery)
+	go t.link.Run(ctx)
+	go t.follow(ctx)
+	go t.tick(ctx)
+
+	failed := make(chan error, 2)
+	go func() { failed <- t.readUpstream() }()
+	go func() { failed <- t.readLink() }()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// Announce takes an announcement of the upstream.
+func (t *Outlet) Announce(a flow.Announcement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	before := t.core.Upstream()
+	news, actions := t.core.Announce(time.Now(), a)
+	t.carryOut(actions)
+	if !news {
+		t.log.Info("old announcement ignored", "upstream", a.ID, "born", a.Born, "sequence", a.Sequence)
+		return
+	}
+	if before == nil || !before.SameIncarnation(&a) || before.State != a.State {
+		t.log.Info("upstream announced", "upstream", a.ID, "born", a.Born, "state", int(a.State),
+			"slots", a.Slots, "coldFor", a.WarmUpLeft, "version", a.Version)
+	}
+	t.weigh()
+}
+
+// Depart takes the upstream's goodbye.
+func (t *Outlet) Depart(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.log.Info("upstream departed", "upstream", id)
+	t.core.Depart(id)
+	t.weigh()
+}
+
+// Stop hands new flows to others and waits until the requests in progress have
+// ended, at most for a time.
+func (t *Outlet) Stop(most time.Duration) {
+	t.mu.Lock()
+	t.carryOut(t.core.Stop())
+	t.weigh()
+	t.mu.Unlock()
+	t.link.Leave()
+
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(stopPoll) {
+		t.mu.Lock()
+		idle := t.core.Requests() == 0 || t.core.Upstream() == nil
+		t.mu.Unlock()
+		if idle {
+			return
+		}
+	}
+}
+
+func (t *Outlet) readUpstream() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		count, _, err := t.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return errors.Wrap(err, "read from the upstream")
+		}
+		p, err := t.packets.Parse(buffer[:count])
+		if err != nil {
+			t.metrics.Dropped.WithLabelValues("malformed").Inc()
+			continue
+		}
+		t.mu.Lock()
+		t.carryOut(t.core.FromUpstream(time.Now(), &p))
+		t.observe()
+		t.mu.Unlock()
+	}
+}
+
+func (t *Outlet) readLink() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		count, _, err := t.link.Conn().ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return errors.Wrap(err, "read from the other processes")
+		}
+		if count > 0 && buffer[0] == byte(encap.Control) {
+			t.link.Control(buffer[:count])
+			continue
+		}
+		t.fromBalancer(buffer[:count])
+	}
+}
+
+func (t *Outlet) fromBalancer(datagram []byte) {
+	e, payload, err := t.codec.Open(datagram)
+	if err != nil || e.Kind != hop.Carry {
+		t.metrics.Dropped.WithLabelValues("malformed").Inc()
+		return
+	}
+	p, err := t.packets.Parse(payload)
+	if err != nil {
+		t.metrics.Dropped.WithLabelValues("malformed").Inc()
+		return
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.carryOut(t.core.FromBalancer(time.Now(), &e, &p))
+}
+
+// follow takes changes of the configuration into use.
+func (t *Outlet) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.link.Changed():
+			t.apply()
+		}
+	}
+}
+
+func (t *Outlet) apply() {
+	cfg := t.link.Config()
+	t.link.TakeChanged()
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cfg.Revision == t.revision {
+		return
+	}
+	t.revision = cfg.Revision
+	t.carryOut(t.core.Configure(time.Now(), cfg))
+	t.weigh()
+}
+
+func (t *Outlet) tick(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.timer.C:
+		}
+		t.mu.Lock()
+		t.due = time.Time{}
+		t.carryOut(t.core.Tick(time.Now()))
+		t.metrics.Connections.Set(float64(t.core.Flows()))
+		t.metrics.SlotsUsed.Set(float64(t.core.Requests()))
+		t.weigh()
+		if t.due.IsZero() {
+			t.timer.Reset(sweepEvery)
+		}
+		t.mu.Unlock()
+	}
+}
+
+// weigh tells the balancers whether the upstream takes new flows. It must be
+// called with the lock held.
+func (t *Outlet) weigh() {
+	accepting := t.core.Accepting()
+	if accepting != t.accepting {
+		t.accepting = accepting
+		t.log.Info("taking new flows", "accepting", accepting, "revision", t.revision, "silent", t.core.Silent())
+	}
+	weight := uint8(0)
+	if accepting {
+		weight = roster.MaxWeight
+	}
+	t.link.SetWeight(weight)
+	if t.core.Silent() && !t.probing {
+		t.probing = true
+		go t.probe()
+	}
+}
