Find flows past an agent that died silently; offer old flows to old upstreams only

A repeated lookup now asks the agents side by side, an agent whose upstream is gone announces its own end, and an upstream is asked about unknown flows only if it was announced before the agent started. Ruled out: the caches of balancers (the break came at nodes without an entry).

--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -174,6 +174,13 @@
 	n.announce()
 }
 
+// Depart announces that the node ends for good.
+func (n *Node) Depart() {
+	n.self.State = roster.Dead
+	n.lastBeat = time.Time{}
+	n.announce()
+}
+
 // Return takes Leave back.
 func (n *Node) Return() {
 	n.self.State = roster.Alive
--- a/internal/coordination/owner/offer.go
+++ b/internal/coordination/owner/offer.go
@@ -11,6 +11,10 @@
 	// offerTTL is how long a bounce of an offered packet is expected.
 	offerTTL = time.Second
 
+	// freshSequence is up to which announcement an upstream has had no flows to
+	// speak of, so that nothing is lost by not asking it.
+	freshSequence = 3
+
 	// maxOffers bounds the offers that wait for a bounce.
 	maxOffers = 4096
 )
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -139,6 +139,7 @@
 	unheard  int                 // opening packets in a row without an answer
 	trialAt  time.Time
 	offers   offers
+	mayOffer bool // the upstream may have flows from before the agent's start
 
 	lastSweep time.Time
 	actions   []Action
@@ -203,6 +204,7 @@
 	}
 	fresh := o.upstream == nil || !o.upstream.SameIncarnation(&a)
 	if fresh {
+		o.mayOffer = o.gone == nil && o.upstream == nil && a.Sequence > freshSequence
 		o.ramp.fresh(now)
 		o.unheard = 0
 	}
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -158,7 +158,7 @@
 
 // offering reports whether the upstream may have flows from before the agent's start.
 func (o *Owner) offering(now time.Time, key flow.Key) bool {
-	return o.upstream != nil && now.Sub(o.started) < offerFor && o.routes[key.Service] != nil
+	return o.upstream != nil && o.mayOffer && now.Sub(o.started) < offerFor && o.routes[key.Service] != nil
 }
 
 // passOn sends a packet of an unknown flow to the next agent, or back.
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -21,9 +21,6 @@
 
 	// reportTTL is how long a reported load is believed.
 	reportTTL = time.Second
-
-	// maxRanked is how many agents of a service a flow is looked for at.
-	maxRanked = hop.MaxRanks + 1
 )
 
 // service is the agents of one service.
@@ -31,9 +28,9 @@
 	hash   uint32
 	agents []*agent
 
-	// eligible take new flows; holders may have flows.
+	// ranked are all agents; eligible are those that take new flows.
+	ranked   []rank.Candidate
 	eligible []rank.Candidate
-	holding  []rank.Candidate
 }
 
 // agent is what a balancer knows of one agent.
@@ -51,33 +48,16 @@
 }
 
 func (svc *service) configure(cfg *config.Config) {
-	svc.eligible, svc.holding = svc.eligible[:0], svc.holding[:0]
+	svc.eligible, svc.ranked = svc.eligible[:0], svc.ranked[:0]
 	for i, a := range svc.agents {
 		c := rank.Candidate{Seed: roster.Hash(a.member.Address), Index: i}
-		if a.member.State != roster.Dead {
-			svc.holding = append(svc.holding, c)
-		}
+		svc.ranked = append(svc.ranked, c)
 		if a.member.State == roster.Alive && a.member.Weight > 0 && !cfg.IsOut(a.member.Domain) {
 			svc.eligible = append(svc.eligible, c)
 		}
 	}
 }
 
-// holders adds the agents that may have a flow to the ranks of an envelope.
-func (svc *service) holders(hash uint64, except flow.Endpoint, e *hop.Envelope) {
-	var order [maxRanked]int
-	var scores [maxRanked]uint64
-	count := rank.Top(hash, svc.holding, order[:], scores[:])
-	for _, i := range order[:count] {
-		endpoint := svc.agents[i].endpoint
-		if endpoint == except || e.Count == hop.MaxRanks {
-			continue
-		}
-		e.Ranks[e.Count] = endpoint
-		e.Count++
-	}
-}
-
 // choose returns the agents to try for a new flow: the first of its ranks, the least loaded first.
 func (svc *service) choose(now time.Time, hash uint64, domain string) []*agent {
 	var order [choices]int
@@ -127,6 +107,14 @@
 	return (load + a.sent) / a.slots
 }
 
+// age returns how old the reported load is, 0 if none was reported.
+func (a *agent) age(now time.Time) time.Duration {
+	if a.loadAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.loadAt)
+}
+
 func (a *agent) report(now time.Time, e *hop.Envelope) {
 	a.load, a.slots = float64(e.Load), float64(max(1, e.Slots))
 	a.loadAt = now
@@ -176,7 +164,7 @@
 		envelope.Count++
 	}
 	first := chosen[0]
-	load, age := first.estimate(now), now.Sub(first.loadAt)
+	load, age := first.estimate(now), first.age(now)
 	s.flows[key] = &entry{agent: first.endpoint, at: now, sequence: p.Sequence, opened: true}
 	s.opens[key] = &open{at: now, packet: slices.Clone(p.Raw), envelope: envelope, agent: first.endpoint}
 	first.sent++
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -74,6 +74,7 @@
 	Placed      Reason = "placed"
 	PlacedNext  Reason = "placedNextAfterSilence"
 	Lookup      Reason = "lookup"
+	LookupAll   Reason = "lookupAtAll"
 	NoRoute     Reason = "noRoute"
 	NoUpstream  Reason = "noUpstream"
 	NotFound    Reason = "notFound"
@@ -108,9 +109,15 @@
 	services map[string]*service
 	agents   map[flow.Endpoint]*agent
 
+	// former are the services that addresses led to in earlier configurations.
+	former map[flow.Endpoint][]string
+
 	flows map[flow.Key]*entry
 	opens map[flow.Key]*open
 
+	// searches are the flows that were looked for and not found yet.
+	searches map[flow.Key]*search
+
 	lastSweep time.Time
 	out       []Action
 }
@@ -126,6 +133,8 @@
 		agents:   map[flow.Endpoint]*agent{},
 		flows:    map[flow.Key]*entry{},
 		opens:    map[flow.Key]*open{},
+		searches: map[flow.Key]*search{},
+		former:   map[flow.Endpoint][]string{},
 	}
 }
 
@@ -135,6 +144,7 @@
 	if cfg.IdleTimeout > 0 {
 		s.idle = cfg.IdleTimeout.Duration()
 	}
+	s.remember()
 	s.routes = make(map[flow.Endpoint]*config.Route, len(cfg.Routes))
 	for i := range cfg.Routes {
 		s.routes[flow.EndpointOf(cfg.Routes[i].Address)] = &cfg.Routes[i]
@@ -219,22 +229,6 @@
 	s.lookup(now, key, p.Raw, route, flow.Endpoint{})
 }
 
-// lookup sends a packet along the ranks of its flow until an agent knows it.
-func (s *Steer) lookup(now time.Time, key flow.Key, packet []byte, route *config.Route, except flow.Endpoint) {
-	envelope := s.envelope(route, key, true)
-	svc := s.services[route.Pick(key.Hash())]
-	if svc != nil {
-		svc.holders(key.Hash(), except, &envelope)
-	}
-	to, ok := envelope.Next()
-	if !ok {
-		s.out = append(s.out, Action{Verb: Drop, Reason: NoUpstream, Key: key})
-		return
-	}
-	envelope.Tried = 0
-	s.send(Action{Reason: Lookup, Key: key, To: to, Envelope: envelope, Packet: packet})
-}
-
 func (s *Steer) envelope(route *config.Route, key flow.Key, wantNote bool) hop.Envelope {
 	return hop.Envelope{
 		Kind:     hop.Carry,
@@ -289,6 +283,7 @@
 
 	pending := s.opens[key]
 	delete(s.opens, key)
+	delete(s.searches, key)
 	if e.Refused {
 		delete(s.flows, key)
 		return
@@ -357,6 +352,11 @@
 		return
 	}
 	s.lastSweep = now
+	for key, f := range s.searches {
+		if now.Sub(f.at) > searchTTL {
+			delete(s.searches, key)
+		}
+	}
 	for key, e := range s.flows {
 		idle := now.Sub(e.at)
 		if idle > s.idle || (e.closing && idle > closedLinger) {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -148,6 +148,14 @@
 	l.tick()
 }
 
+// Depart announces that the process ends for good, so that nobody turns to it.
+func (l *Link) Depart() {
+	l.mu.Lock()
+	l.node.Depart()
+	l.mu.Unlock()
+	l.tick()
+}
+
 // Return takes Leave back.
 func (l *Link) Return() {
 	l.mu.Lock()
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -156,9 +156,16 @@
 		idle := t.core.Requests() == 0 || t.core.Upstream() == nil
 		t.mu.Unlock()
 		if idle {
-			return
+			break
 		}
 	}
+
+	t.mu.Lock()
+	gone := t.core.Upstream() == nil
+	t.mu.Unlock()
+	if gone {
+		t.link.Depart()
+	}
 }
 
 func (t *Outlet) readUpstream() error {
