--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -38,6 +38,9 @@
 	codec   *gossip.Codec
 	conn    *net.UDPConn
 
+	// storeLost belongs to FollowOperators.
+	storeLost bool
+
 	mu       sync.Mutex
 	node     *member.Node
 	cfg      *config.Config
--- a/internal/transport/link/source.go
+++ b/internal/transport/link/source.go
@@ -22,7 +22,6 @@
 // each failure domain, the first on the ring, wait at the store; the others hear
 // of changes from them, and read once for themselves when they start.
 func (l *Link) FollowOperators(ctx context.Context, operators coriandershift.Operators) {
-	connected := true
 	for ctx.Err() == nil {
 		if l.rank() >= watchersPerDomain && l.Config().Revision > 0 && !l.isolated() {
 			sleep(ctx, sourceIdle)
@@ -33,11 +32,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if (err == nil) != connected {
-			connected = err == nil
-			l.noteStore(err)
-		}
 		if err != nil {
+			l.noteStore(err)
 			sleep(ctx, sourcePause)
 		}
 	}
@@ -49,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	l.noteStore(nil)
 	l.Adopt(cfg, "store")
 
 	after := cfg.Revision
@@ -62,8 +59,14 @@
 	return nil
 }
 
+// noteStore logs when the store is lost or regained.
 func (l *Link) noteStore(err error) {
-	if err != nil {
+	lost := err != nil
+	if lost == l.storeLost {
+		return
+	}
+	l.storeLost = lost
+	if lost {
 		l.log.Warn("store lost", "revision", l.Config().Revision, "error", err)
 		return
 	}
