--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -153,9 +153,18 @@
 			return
 		}
 	}
+	e.Unsure = e.Unsure || !o.certain()
 	o.passOn(key, e, p.Raw, NotHeld)
 }
 
+// certain reports whether a flow that is not in the table is surely not at the upstream.
+func (o *Owner) certain() bool {
+	if o.upstream == nil {
+		return o.gone != nil
+	}
+	return !o.mayOffer
+}
+
 // offering reports whether the upstream may have flows from before the agent's start.
 func (o *Owner) offering(now time.Time, key flow.Key) bool {
 	return o.upstream != nil && o.mayOffer && now.Sub(o.started) < offerFor && o.routes[key.Service] != nil
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -43,7 +43,8 @@
 	loadAt      time.Time
 	sent        float64
 
-	missed       int // opening packets in a row without a note
+	deadSince    time.Time // zero while it lives
+	missed       int       // opening packets in a row without a note
 	suspectUntil time.Time
 }
 
@@ -107,6 +108,17 @@
 	return (load + a.sent) / a.slots
 }
 
+// update takes a new record of the agent.
+func (a *agent) update(now time.Time, m *roster.Member) {
+	a.member = *m
+	switch {
+	case m.State != roster.Dead:
+		a.deadSince = time.Time{}
+	case a.deadSince.IsZero():
+		a.deadSince = now
+	}
+}
+
 // age returns how old the reported load is, 0 if none was reported.
 func (a *agent) age(now time.Time) time.Duration {
 	if a.loadAt.IsZero() {
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -15,53 +15,88 @@
 	// repeat a packet after 1.6 s at the latest.
 	searchTTL = 4 * time.Second
 
-	// wideAfter is after how many searches all agents are asked, not only those
-	// that rank highest for the flow.
-	wideAfter = 2
+	// searchTimeout is how long a search may take before it is begun anew: a
+	// dozen hops between failure domains, and some waiting.
+	searchTimeout = 150 * time.Millisecond
+
+	// maxAsked bounds the agents that are asked about a flow. Flows are opened
+	// within the first ranks, which shift as agents come and go.
+	maxAsked = 24
 
 	// maxSearches bounds the searches that are remembered.
 	maxSearches = 8192
+
+	// settleTime is how long after its start a balancer may not know all agents:
+	// they send a heartbeat a second, which is passed on within another.
+	settleTime = 3 * time.Second
+
+	// deadDoubt is how long an agent that is taken for dead may still come back
+	// beside an upstream with open flows.
+	deadDoubt = 5 * time.Second
 )
 
-// search is a flow that was looked for.
+// search is a flow that is looked for.
 type search struct {
-	at    time.Time
+	began time.Time
 	tries int
+
+	// asked agents said that they do not have the flow; unsure if one of them
+	// could not know.
+	asked  int
+	unsure bool
+
+	// members is the version of the list of members that the search goes by.
+	members uint64
+
+	// answered says that the search came to its end.
+	answered bool
 }
 
-// lookup looks for the agent that has a flow. At first the packet goes along the
-// ranks of the flow. An agent that died silently ends such a chain, so when the
-// caller repeats the packet the agents are asked side by side.
+// lookup looks for the agent that has a flow. The packet goes along the ranks of
+// the flow. An agent that died silently breaks such a chain; then the agents are
+// asked side by side when the caller repeats the packet.
 func (s *Steer) lookup(now time.Time, key flow.Key, packet []byte, route *config.Route, except flow.Endpoint) {
-	agents := s.holders(route, key.Hash(), except)
+	agents, dead := s.holders(now, route, key.Hash(), except)
 	if len(agents) == 0 {
+		s.ask(key, packet, route, dead)
 		s.out = append(s.out, Action{Verb: Drop, Reason: NoUpstream, Key: key})
 		return
 	}
 
 	f := s.searches[key]
+	if f != nil && now.Sub(f.began) < searchTimeout {
+		s.chain(key, packet, route, agents, false)
+		return
+	}
 	if f == nil {
-		f = &search{}
+		f = &search{answered: true}
 		if len(s.searches) < maxSearches {
 			s.searches[key] = f
 		}
 	}
-	f.at = now
-	f.tries++
-	if f.tries == 1 {
-		s.chain(key, packet, route, agents)
-		return
+
+	broken := !f.answered
+	*f = search{began: now, tries: f.tries + 1, members: s.members}
+	if except != (flow.Endpoint{}) {
+		f.asked = 1
 	}
-	if f.tries <= wideAfter {
-		agents = agents[:min(len(agents), hop.MaxRanks)]
+	if !broken {
+		s.chain(key, packet, route, agents, true)
+		return
 	}
+	s.ask(key, packet, route, agents[:min(len(agents), maxAsked)])
+}
+
+// ask sends a packet to agents side by side.
+func (s *Steer) ask(key flow.Key, packet []byte, route *config.Route, agents []*agent) {
 	for _, a := range agents {
 		s.send(Action{Reason: LookupAll, Key: key, To: a.endpoint, Envelope: s.envelope(route, key, true), Packet: packet})
 	}
 }
 
-func (s *Steer) chain(key flow.Key, packet []byte, route *config.Route, agents []*agent) {
-	envelope := s.envelope(route, key, true)
+// chain sends a packet along agents. Only the packet that a search began with asks for a note.
+func (s *Steer) chain(key flow.Key, packet []byte, route *config.Route, agents []*agent, wantNote bool) {
+	envelope := s.envelope(route, key, wantNote)
 	for _, a := range agents[1:min(len(agents), hop.MaxRanks+1)] {
 		envelope.Ranks[envelope.Count] = a.endpoint
 		envelope.Count++
@@ -69,10 +104,39 @@
 	s.send(Action{Reason: Lookup, Key: key, To: agents[0].endpoint, Envelope: envelope, Packet: packet})
 }
 
+// answered takes a packet of a search back. Once all agents that may have the
+// flow said that they do not, its caller learns that it is gone.
+func (s *Steer) answered(now time.Time, e *hop.Envelope, p *flow.Packet, route *config.Route) {
+	key := p.FromCaller()
+	f := s.searches[key]
+	if f == nil || s.flows[key] != nil {
+		return
+	}
+
+	f.asked += int(e.Tried) + 1
+	f.unsure = f.unsure || e.Unsure
+	agents, dead := s.holders(now, route, key.Hash(), flow.Endpoint{})
+	if f.asked < min(len(agents), maxAsked) {
+		if e.Tried > 0 {
+			s.chain(key, p.Raw, route, agents[f.asked:], true)
+		}
+		return
+	}
+
+	f.answered = true
+	if f.unsure || f.members != s.members || len(dead) > 0 || now.Sub(s.started) < settleTime || p.Reset {
+		s.ask(key, p.Raw, route, dead)
+		s.out = append(s.out, Action{Verb: Drop, Reason: NotFound, Key: key})
+		return
+	}
+	delete(s.searches, key)
+	s.out = append(s.out, Action{Verb: Reset, Reason: Gone, Key: key, Sequence: p.Acknowledged})
+}
+
 // holders returns the agents that may have a flow, the likeliest first: those of
-// the services that its address leads to or led to, by rank, living ones first.
-func (s *Steer) holders(route *config.Route, hash uint64, except flow.Endpoint) []*agent {
-	var living, others []*agent
+// the services that its address leads to or led to, by rank. Those that died a
+// moment ago come apart.
+func (s *Steer) holders(now time.Time, route *config.Route, hash uint64, except flow.Endpoint) (living, dead []*agent) {
 	for _, name := range s.servicesOf(route, hash) {
 		svc := s.services[name]
 		if svc == nil {
@@ -84,14 +148,14 @@
 			a := svc.agents[i]
 			switch {
 			case a.endpoint == except:
-			case a.member.State == roster.Dead:
-				others = append(others, a)
-			default:
+			case a.member.State != roster.Dead:
 				living = append(living, a)
+			case now.Sub(a.deadSince) < deadDoubt:
+				dead = append(dead, a)
 			}
 		}
 	}
-	return append(living, others...)
+	return living, dead
 }
 
 // servicesOf returns the services that may have a flow of a route: the one that
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -75,6 +75,7 @@
 	PlacedNext  Reason = "placedNextAfterSilence"
 	Lookup      Reason = "lookup"
 	LookupAll   Reason = "lookupAtAll"
+	Gone        Reason = "flowGone"
 	NoRoute     Reason = "noRoute"
 	NoUpstream  Reason = "noUpstream"
 	NotFound    Reason = "notFound"
@@ -100,14 +101,16 @@
 
 // Steer decides for one balancer. It is not safe for concurrent use.
 type Steer struct {
-	self   flow.Endpoint
-	domain string
+	self    flow.Endpoint
+	domain  string
+	started time.Time
 
 	revision uint64
 	idle     time.Duration
 	routes   map[flow.Endpoint]*config.Route
 	services map[string]*service
 	agents   map[flow.Endpoint]*agent
+	members  uint64 // grows with every change of the agents
 
 	// former are the services that addresses led to in earlier configurations.
 	former map[flow.Endpoint][]string
@@ -123,8 +126,9 @@
 }
 
 // New returns a Steer for the balancer at an address and failure domain.
-func New(self flow.Endpoint, domain string) *Steer {
+func New(self flow.Endpoint, domain string, now time.Time) *Steer {
 	return &Steer{
+		started:  now,
 		self:     self,
 		domain:   domain,
 		idle:     defaultIdle,
@@ -155,7 +159,8 @@
 }
 
 // Members takes the whole list of members into use.
-func (s *Steer) Members(cfg *config.Config, members []roster.Member) {
+func (s *Steer) Members(now time.Time, cfg *config.Config, members []roster.Member) {
+	s.members++
 	s.services = map[string]*service{}
 	known := map[flow.Endpoint]*agent{}
 	for i := range members {
@@ -168,7 +173,7 @@
 		if a == nil || a.member.Incarnation != m.Incarnation {
 			a = &agent{endpoint: endpoint}
 		}
-		a.member = *m
+		a.update(now, m)
 		known[endpoint] = a
 
 		svc := s.services[m.Service]
@@ -312,15 +317,18 @@
 		s.refuse(key, p, NoRoute)
 		return
 	}
-	if p.Opening() || e.WantNote {
-		s.out = append(s.out, Action{Verb: Drop, Reason: NotFound, Key: key})
+	if p.Opening() {
+		return
+	}
+	if e.WantNote {
+		s.answered(now, e, p, route)
 		return
 	}
 
 	if known := s.flows[key]; known != nil && known.agent == e.Agent {
 		delete(s.flows, key)
+		s.lookup(now, key, p.Raw, route, e.Agent)
 	}
-	s.lookup(now, key, p.Raw, route, e.Agent)
 }
 
 // Due returns when Tick has something to do, and false if it has nothing.
@@ -353,7 +361,7 @@
 	}
 	s.lastSweep = now
 	for key, f := range s.searches {
-		if now.Sub(f.at) > searchTTL {
+		if now.Sub(f.began) > searchTTL {
 			delete(s.searches, key)
 		}
 	}
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/hop/hop.go
@@ -36,7 +36,7 @@
 
 	flagWantNote = 1
 	flagRefused  = 2
-	flagFound    = 4
+	flagUnsure   = 4
 )
 
 // Errors of Open.
@@ -69,8 +69,9 @@
 	// Refused says in a note that the flow was refused and its caller reset.
 	Refused bool
 
-	// Found says in a note that the flow was open already.
-	Found bool
+	// Unsure says that an agent which had the packet before cannot know whether
+	// its upstream has the flow.
+	Unsure bool
 
 	// Tried counts the agents that had the packet before.
 	Tried uint8
@@ -157,7 +158,7 @@
 func (e *Envelope) read(datagram []byte) {
 	e.WantNote = datagram[2]&flagWantNote != 0
 	e.Refused = datagram[2]&flagRefused != 0
-	e.Found = datagram[2]&flagFound != 0
+	e.Unsure = datagram[2]&flagUnsure != 0
 	e.Revision = binary.BigEndian.Uint64(datagram[4:])
 	e.Service = binary.BigEndian.Uint32(datagram[12:])
 	e.Balancer = endpointAt(datagram[16:])
@@ -177,8 +178,8 @@
 	if e.Refused {
 		flags |= flagRefused
 	}
-	if e.Found {
-		flags |= flagFound
+	if e.Unsure {
+		flags |= flagUnsure
 	}
 	return flags
 }
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -74,7 +74,7 @@
 		packets: o.Packets,
 		codec:   hop.New(o.Keys),
 		callers: callers,
-		core:    steer.New(flow.EndpointOf(self.Address), self.Domain),
+		core:    steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now()),
 		buffer:  make([]byte, 0, maxDatagram),
 	}, nil
 }
@@ -169,7 +169,7 @@
 		n.revision = cfg.Revision
 		n.core.Configure(cfg)
 	}
-	n.core.Members(cfg, members)
+	n.core.Members(time.Now(), cfg, members)
 	n.metrics.Members.Set(float64(len(members)))
 }
 
