Tell the searches for a flow apart

Searches carry a number and count each agent once. Ruled out: agents with empty tables (none had restarted).

--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/rank"
@@ -40,11 +41,18 @@
 	began time.Time
 	tries int
 
-	// asked agents said that they do not have the flow; unsure if one of them
+	// id is in the envelopes of the search, so that late answers to an earlier
+	// one do not count.
+	id uint16
+
+	// said are the agents that do not have the flow; unsure if one of them
 	// could not know.
-	asked  int
+	said   []flow.Endpoint
 	unsure bool
 
+	// chained says that the agents are asked one after the other.
+	chained bool
+
 	// members is the version of the list of members that the search goes by.
 	members uint64
 
@@ -58,14 +66,14 @@
 func (s *Steer) lookup(now time.Time, key flow.Key, packet []byte, route *config.Route, except flow.Endpoint) {
 	agents, dead := s.holders(now, route, key.Hash(), except)
 	if len(agents) == 0 {
-		s.ask(key, packet, route, dead)
+		s.ask(key, packet, route, dead, &search{})
 		s.out = append(s.out, Action{Verb: Drop, Reason: NoUpstream, Key: key})
 		return
 	}
 
 	f := s.searches[key]
 	if f != nil && now.Sub(f.began) < searchTimeout {
-		s.chain(key, packet, route, agents, false)
+		s.chain(key, packet, route, agents, nil)
 		return
 	}
 	if f == nil {
@@ -76,27 +84,31 @@
 	}
 
 	broken := !f.answered
-	*f = search{began: now, tries: f.tries + 1, members: s.members}
-	if except != (flow.Endpoint{}) {
-		f.asked = 1
-	}
-	if !broken {
-		s.chain(key, packet, route, agents, true)
+	s.searchID++
+	*f = search{began: now, tries: f.tries + 1, id: s.searchID, members: s.members, chained: !broken}
+	if f.chained {
+		s.chain(key, packet, route, agents, f)
 		return
 	}
-	s.ask(key, packet, route, agents[:min(len(agents), maxAsked)])
+	s.ask(key, packet, route, agents[:min(len(agents), maxAsked)], f)
 }
 
 // ask sends a packet to agents side by side.
-func (s *Steer) ask(key flow.Key, packet []byte, route *config.Route, agents []*agent) {
+func (s *Steer) ask(key flow.Key, packet []byte, route *config.Route, agents []*agent, f *search) {
+	envelope := s.envelope(route, key, true)
+	envelope.Search = f.id
 	for _, a := range agents {
-		s.send(Action{Reason: LookupAll, Key: key, To: a.endpoint, Envelope: s.envelope(route, key, true), Packet: packet})
+		s.send(Action{Reason: LookupAll, Key: key, To: a.endpoint, Envelope: envelope, Packet: packet})
 	}
 }
 
-// chain sends a packet along agents. Only the packet that a search began with asks for a note.
-func (s *Steer) chain(key flow.Key, packet []byte, route *config.Route, agents []*agent, wantNote bool) {
-	envelope := s.envelope(route, key, wantNote)
+// chain sends a packet along agents. Only the packet that a search began with
+// belongs to it; the others of the flow go the same way.
+func (s *Steer) chain(key flow.Key, packet []byte, route *config.Route, agents []*agent, f *search) {
+	envelope := s.envelope(route, key, f != nil)
+	if f != nil {
+		envelope.Search = f.id
+	}
 	for _, a := range agents[1:min(len(agents), hop.MaxRanks+1)] {
 		envelope.Ranks[envelope.Count] = a.endpoint
 		envelope.Count++
@@ -109,23 +121,23 @@
 func (s *Steer) answered(now time.Time, e *hop.Envelope, p *flow.Packet, route *config.Route) {
 	key := p.FromCaller()
 	f := s.searches[key]
-	if f == nil || s.flows[key] != nil {
+	if f == nil || f.id != e.Search || s.flows[key] != nil {
 		return
 	}
 
-	f.asked += int(e.Tried) + 1
-	f.unsure = f.unsure || e.Unsure
 	agents, dead := s.holders(now, route, key.Hash(), flow.Endpoint{})
-	if f.asked < min(len(agents), maxAsked) {
-		if e.Tried > 0 {
-			s.chain(key, p.Raw, route, agents[f.asked:], true)
+	f.unsure = f.unsure || e.Unsure || f.members != s.members
+	f.note(e, agents)
+	if left := min(len(agents), maxAsked); len(f.said) < left {
+		if f.chained && !f.unsure {
+			s.chain(key, p.Raw, route, agents[len(f.said):], f)
 		}
 		return
 	}
 
 	f.answered = true
-	if f.unsure || f.members != s.members || len(dead) > 0 || now.Sub(s.started) < settleTime || p.Reset {
-		s.ask(key, p.Raw, route, dead)
+	if f.unsure || len(dead) > 0 || now.Sub(s.started) < settleTime || p.Reset {
+		s.ask(key, p.Raw, route, dead, f)
 		s.out = append(s.out, Action{Verb: Drop, Reason: NotFound, Key: key})
 		return
 	}
@@ -133,6 +145,21 @@
 	s.out = append(s.out, Action{Verb: Reset, Reason: Gone, Key: key, Sequence: p.Acknowledged})
 }
 
+// note records which agents do not have the flow: those that a chain went along
+// in the order of agents, or the one that was asked alone.
+func (f *search) note(e *hop.Envelope, agents []*agent) {
+	if f.chained {
+		from := len(f.said)
+		for _, a := range agents[min(from, len(agents)):min(from+int(e.Tried)+1, len(agents))] {
+			f.said = append(f.said, a.endpoint)
+		}
+		return
+	}
+	if !slices.Contains(f.said, e.Agent) {
+		f.said = append(f.said, e.Agent)
+	}
+}
+
 // holders returns the agents that may have a flow, the likeliest first: those of
 // the services that its address leads to or led to, by rank. Those that died a
 // moment ago come apart.
@@ -169,27 +196,18 @@
 		}
 	}
 	for _, former := range s.former[flow.EndpointOf(route.Address)] {
-		if !contains(names, former) {
+		if !slices.Contains(names, former) {
 			names = append(names, former)
 		}
 	}
 	return names
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // remember keeps the services that routes led to before a change: open flows stay there.
 func (s *Steer) remember() {
 	for address, route := range s.routes {
 		for _, share := range route.Shares {
-			if !contains(s.former[address], share.Service) {
+			if !slices.Contains(s.former[address], share.Service) {
 				s.former[address] = append(s.former[address], share.Service)
 			}
 		}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -120,6 +120,7 @@
 
 	// searches are the flows that were looked for and not found yet.
 	searches map[flow.Key]*search
+	searchID uint16
 
 	lastSweep time.Time
 	out       []Action
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/hop/hop.go
@@ -30,7 +30,7 @@
 const MaxRanks = 11
 
 const (
-	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 2 + 2
+	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 2 + 2 + 2
 	rankLength  = 6
 	tagLength   = 8
 
@@ -76,6 +76,9 @@
 	// Tried counts the agents that had the packet before.
 	Tried uint8
 
+	// Search tells the searches of a balancer apart; it comes back unchanged.
+	Search uint16
+
 	// Load and Slots are the agent's, in requests.
 	Load, Slots uint16
 
@@ -118,6 +121,7 @@
 	dst = appendEndpoint(dst, e.Agent)
 	dst = binary.BigEndian.AppendUint16(dst, e.Load)
 	dst = binary.BigEndian.AppendUint16(dst, e.Slots)
+	dst = binary.BigEndian.AppendUint16(dst, e.Search)
 	for _, rank := range e.Ranks[:e.Count] {
 		dst = appendEndpoint(dst, rank)
 	}
@@ -165,6 +169,7 @@
 	e.Agent = endpointAt(datagram[22:])
 	e.Load = binary.BigEndian.Uint16(datagram[28:])
 	e.Slots = binary.BigEndian.Uint16(datagram[30:])
+	e.Search = binary.BigEndian.Uint16(datagram[32:])
 	for i := range e.Count {
 		e.Ranks[i] = endpointAt(datagram[fixedLength+i*rankLength:])
 	}
