Let flows wait at the agent by priority when all candidates are full

Loaded recoveries refused callers in quick succession until their tries were used up, while the upstream's own queue knows no priority. The agent with the shortest backlog of the candidates now holds an opening packet while its turn can come in time.

--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -79,9 +79,12 @@
 }
 
 // noteCaller follows a caller's packet that goes to the upstream.
-func (o *Owner) noteCaller(now time.Time, e *entry, p *flow.Packet) {
+func (o *Owner) noteCaller(now time.Time, key flow.Key, e *entry, p *flow.Packet) {
 	e.lastAt = now
-	e.open = true
+	if !e.open {
+		e.open = true
+		delete(o.opening, key)
+	}
 	if p.Ack {
 		e.callerAck = p.Acknowledged
 	}
@@ -112,7 +115,6 @@
 		e.upstreamStart = p.Sequence
 		e.answered = true
 		e.packet = nil
-		delete(o.opening, key)
 		o.unheard = 0
 	}
 	if p.Length > 0 {
@@ -141,13 +143,17 @@
 		done.Kind = route.Kind
 	}
 	o.finished = append(o.finished, done)
+	o.service += (done.Took - o.service) / serviceWeight
 }
 
 // Due returns when Tick has something to do, and false if it has nothing.
 func (o *Owner) Due() (time.Time, bool) {
 	var due time.Time
+	if o.backlog.Len() > 0 {
+		due = o.lastTick.Add(backlogTick)
+	}
 	for _, e := range o.opening {
-		if at := e.openedAt.Add(answerTimeout); due.IsZero() || at.Before(due) {
+		if at := e.openedAt.Add(handshakeTimeout); due.IsZero() || at.Before(due) {
 			due = at
 		}
 	}
@@ -157,8 +163,14 @@
 // Tick hands on opening packets that the upstream left unanswered, and forgets old flows.
 func (o *Owner) Tick(now time.Time) []Action {
 	o.actions = o.actions[:0]
+	o.lastTick = now
 	for key, e := range o.opening {
-		if now.Sub(e.openedAt) < answerTimeout {
+		if now.Sub(e.openedAt) < handshakeTimeout {
+			continue
+		}
+		if e.answered {
+			delete(o.opening, key)
+			o.rest(e)
 			continue
 		}
 		o.unheard++
@@ -166,7 +178,12 @@
 		o.end(key, e)
 		o.handOn(now, key, &envelope, packet, NoAnswer)
 	}
+	for _, w := range o.backlog.Expire(now) {
+		o.resetCaller(w.Key, 0, Expired)
+		o.tell(w.Key, &w.Envelope, true)
+	}
 	o.sweep(now)
+	o.pump(now)
 	return o.actions
 }
 
@@ -176,11 +193,11 @@
 	}
 	o.lastSweep = now
 	o.offers.sweep(now)
+	if o.lapsed(now) {
+		o.unheard = max(o.unheard, silentAfter)
+	}
 	for key, e := range o.flows {
 		idle := now.Sub(e.lastAt)
-		if !e.open && idle > openTimeout {
-			o.rest(e)
-		}
 		if idle > forgetAfter || (e.closed() && idle > closedLinger) {
 			o.end(key, e)
 		}
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -8,18 +8,17 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/backlog"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
 const (
-	// answerTimeout is how long the upstream has to answer an opening packet.
-	// It runs on the same VM and answers within a millisecond unless it is gone.
-	answerTimeout = 60 * time.Millisecond
-
-	// openTimeout is after how long a flow that its caller did not complete
-	// counts no more as a request; callers give up after 1.4 s.
-	openTimeout = 1500 * time.Millisecond
+	// handshakeTimeout is how long the upstream has to answer an opening packet
+	// and the caller to complete the handshake. The one is on the same VM, the
+	// other a few milliseconds away. An upstream that does not answer is gone; a
+	// caller that does not has given up, and must not keep others out.
+	handshakeTimeout = 60 * time.Millisecond
 
 	// offerFor is how long after its start an agent asks its upstream about
 	// flows that it does not know: as long as a flow may live.
@@ -37,12 +36,13 @@
 	// maxFlows bounds the table; about 200 bytes each.
 	maxFlows = 16384
 
-	// silentAfter is the number of opening packets in a row without an answer
-	// after which the upstream is taken to be silent.
-	silentAfter = 2
+	// silentAfter is the number of opening packets in a row that were not
+	// answered or bounced after which the upstream is taken to be silent.
+	silentAfter = 3
 
-	// trialEvery is how often a silent upstream is tried with a new flow.
-	trialEvery = 200 * time.Millisecond
+	// lapseAfter is after how long without an announcement the upstream is taken
+	// to be silent: several of its heartbeats, which come every second or faster.
+	lapseAfter = 4 * time.Second
 )
 
 // Verb is what becomes of a packet.
@@ -62,6 +62,8 @@
 	Tell
 	// Reset tells the caller that the flow does not exist.
 	Reset
+	// Hold keeps an opening packet until the upstream has room.
+	Hold
 )
 
 // Action is a decision. Reason is empty for packets of known flows.
@@ -101,6 +103,8 @@
 	Stopping     Reason = "agentStopping"
 	Cold         Reason = "coldLimit"
 	Full         Reason = "full"
+	Queued       Reason = "queued"
+	Expired      Reason = "expired"
 	Overloaded   Reason = "overloaded"
 	Bounced      Reason = "bounced"
 	NoAnswer     Reason = "noAnswer"
@@ -134,14 +138,16 @@
 	stopping bool
 
 	flows    map[flow.Key]*entry
-	opening  map[flow.Key]*entry // those the upstream has not answered
+	opening  map[flow.Key]*entry // those in their handshake
 	requests int                 // flows that the upstream works for, or soon will
 	unheard  int                 // opening packets in a row without an answer
-	trialAt  time.Time
+	backlog  backlog.Backlog
+	service  time.Duration // mean time of a request at the upstream
 	offers   offers
 	mayOffer bool // the upstream may have flows from before the agent's start
 
 	lastSweep time.Time
+	lastTick  time.Time
 	actions   []Action
 	finished  []Completion
 }
@@ -202,12 +208,17 @@
 	if o.upstream != nil && !o.upstream.SameIncarnation(&a) {
 		o.endAll(Gone)
 	}
+	if a.State != flow.Serving {
+		defer func() { o.drainBacklog(now, Leaving) }()
+	}
 	fresh := o.upstream == nil || !o.upstream.SameIncarnation(&a)
 	if fresh {
 		o.mayOffer = o.gone == nil && o.upstream == nil && a.Sequence > freshSequence
 		o.ramp.fresh(now)
 		o.unheard = 0
 	}
+	// One more opening packet tries a silent upstream that still announces itself.
+	o.unheard = min(o.unheard, silentAfter-1)
 	o.upstream = &a
 	o.heardAt = now
 	o.coldTill = now.Add(a.WarmUpLeft)
@@ -237,9 +248,10 @@
 
 // Stop says that the process is about to end: new flows go to others. If the
 // upstream has ended before, its callers learn it at once.
-func (o *Owner) Stop() []Action {
+func (o *Owner) Stop(now time.Time) []Action {
 	o.actions = o.actions[:0]
 	o.stopping = true
+	o.drainBacklog(now, Stopping)
 	if o.upstream == nil && o.gone != nil {
 		o.endAll(Gone)
 	}
@@ -277,6 +289,11 @@
 	return o.upstream != nil && o.upstream.State == flow.Serving && !o.out && !o.stopping && o.unheard < silentAfter
 }
 
+// lapsed reports whether the upstream stopped announcing itself.
+func (o *Owner) lapsed(now time.Time) bool {
+	return o.upstream != nil && now.Sub(o.heardAt) > lapseAfter
+}
+
 // Silent reports whether the upstream leaves opening packets unanswered.
 func (o *Owner) Silent() bool {
 	return o.upstream != nil && o.unheard >= silentAfter
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -8,10 +8,6 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
-// queueFactor bounds the requests at the upstream, as a multiple of its slots,
-// before new flows are refused: those waiting then still meet their deadlines.
-const queueFactor = 4
-
 // FromBalancer takes a caller's packet that a balancer or another agent sent.
 // The actions are valid until the next call.
 func (o *Owner) FromBalancer(now time.Time, e *hop.Envelope, p *flow.Packet) []Action {
@@ -35,17 +31,30 @@
 		o.end(key, known) // the caller uses its port again
 	}
 
-	if reason := o.admit(now, key, e); reason != "" {
-		o.handOn(now, key, e, p.Raw, reason)
+	if o.backlog.Holds(key, p.Sequence) {
+		o.tell(key, e, false)
 		return
 	}
 
-	known := &entry{openedAt: now, lastAt: now, sequence: p.Sequence, packet: slices.Clone(p.Raw), envelope: *e}
+	reason := o.admit(now, key, e)
+	switch reason {
+	case "":
+		o.open(now, key, p.Sequence, p.Raw, e)
+		o.tell(key, e, false)
+	case Full:
+		o.full(now, key, e, p)
+	default:
+		o.handOn(now, key, e, p.Raw, reason)
+	}
+}
+
+// open gives an opening packet to the upstream.
+func (o *Owner) open(now time.Time, key flow.Key, sequence uint32, packet []byte, e *hop.Envelope) {
+	known := &entry{openedAt: now, lastAt: now, sequence: sequence, packet: slices.Clone(packet), envelope: *e}
 	o.flows[key] = known
 	o.opening[key] = known
 	o.begin(known)
-	o.deliver(key, p.Raw, 0, Opened)
-	o.tell(key, e, false)
+	o.deliver(key, packet, 0, Opened)
 }
 
 // admit returns why a new flow may not be opened here, or nothing.
@@ -56,17 +65,11 @@
 	if len(o.flows) >= maxFlows || (o.limits.Connections > 0 && len(o.flows) >= o.limits.Connections) {
 		return TableFull
 	}
-	if o.requests >= o.slots() && e.Count > 0 {
-		return Full
-	}
-	if o.requests >= o.slots()*queueFactor {
-		return Overloaded
-	}
 	if o.unheard >= silentAfter {
-		if now.Sub(o.trialAt) < trialEvery {
-			return Silent
-		}
-		o.trialAt = now
+		return Silent
+	}
+	if o.requests >= o.room(e) || o.backlog.Len() > 0 {
+		return Full
 	}
 	if now.Before(o.coldTill) && !o.ramp.admit(now) {
 		return Cold
@@ -115,7 +118,7 @@
 		return
 	}
 
-	if o.unsure(now, reason) {
+	if e.Repeated || o.unsure(now, reason) {
 		o.actions = append(o.actions, Action{Verb: Drop, Reason: reason, Key: key, Load: o.requests})
 		return
 	}
@@ -139,7 +142,7 @@
 func (o *Owner) following(now time.Time, key flow.Key, e *hop.Envelope, p *flow.Packet) {
 	known := o.flows[key]
 	if known != nil && known.belongs(p) {
-		o.noteCaller(now, known, p)
+		o.noteCaller(now, key, known, p)
 		o.deliver(key, p.Raw, 0, "")
 		if e.WantNote {
 			o.tell(key, e, false)
@@ -201,6 +204,7 @@
 		o.noteUpstream(now, key, known, p)
 	}
 	o.actions = append(o.actions, Action{Verb: Answer, Key: key, Packet: p.Raw})
+	o.pump(now)
 	return o.actions
 }
 
@@ -224,7 +228,7 @@
 		}
 		e := known.envelope
 		o.end(key, known)
-		o.unheard = 0
+		o.unheard++
 		o.handOn(now, key, &e, p.Raw, Bounced)
 		return
 	}
--- /dev/null
+++ b/internal/coordination/owner/room.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/backlog"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+const (
+	// openingShare is how many requests beyond its slots the upstream gets, as a
+	// part of them: it works on nothing while a caller completes its handshake,
+	// about 8 ms of the 40 to 80 ms that a request takes.
+	openingShare = 4
+
+	// maxWait bounds the time that a flow is expected to wait for room. Callers
+	// give an opening packet up after 1.4 s.
+	maxWait = 800 * time.Millisecond
+
+	// callerPatience is how long a flow may wait in fact.
+	callerPatience = 1200 * time.Millisecond
+
+	// serviceWeight is the weight of old service times against a new one.
+	serviceWeight = 16
+
+	// usualService is assumed until a request was seen.
+	usualService = 50 * time.Millisecond
+
+	// backlogTick is how often a backlog is looked at when nothing else happens.
+	backlogTick = 50 * time.Millisecond
+)
+
+// room returns how many requests the upstream may have before others are tried,
+// or before flows wait when there are no others.
+func (o *Owner) room(e *hop.Envelope) int {
+	if e.Count > 0 && !e.Last {
+		return o.slots()
+	}
+	return o.limit()
+}
+
+func (o *Owner) limit() int {
+	return o.slots() + max(1, o.slots()/openingShare)
+}
+
+// full handles an opening packet that the upstream has no room for: it goes to
+// the next agent, at last to the one with the shortest backlog, and waits there.
+func (o *Owner) full(now time.Time, key flow.Key, e *hop.Envelope, p *flow.Packet) {
+	if load := o.fullness(); !e.Last && (e.Best.IsZero() || load < e.BestLoad) {
+		e.Best, e.BestLoad = o.settings.Self, load
+	}
+	if e.Count > 0 {
+		o.handOn(now, key, e, p.Raw, Full)
+		return
+	}
+	if !e.Last && e.Best != o.settings.Self {
+		e.Last = true
+		e.Ranks[0], e.Count = e.Best, 1
+		o.handOn(now, key, e, p.Raw, Full)
+		return
+	}
+	o.wait(now, key, e, p)
+}
+
+// fullness compares agents whose upstreams have no room: requests for 100 slots.
+func (o *Owner) fullness() uint16 {
+	return uint16(min(100*(o.requests+o.backlog.Len())/o.slots(), 1<<16-1))
+}
+
+// wait puts a flow into the backlog, unless its turn would come too late.
+func (o *Owner) wait(now time.Time, key flow.Key, e *hop.Envelope, p *flow.Packet) {
+	priority := o.priority(key)
+	expected := o.meanService() * time.Duration(o.backlog.Ahead(priority)+1) / time.Duration(o.slots())
+	if expected > maxWait {
+		o.handOn(now, key, e, p.Raw, Overloaded)
+		return
+	}
+
+	o.backlog.Add(backlog.Waiting{
+		Key: key, Priority: priority, Until: now.Add(callerPatience),
+		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
+	})
+	o.actions = append(o.actions, Action{Verb: Hold, Reason: Queued, Key: key, Load: o.requests})
+	o.tell(key, e, false)
+}
+
+func (o *Owner) priority(key flow.Key) int {
+	if route := o.routes[key.Service]; route != nil {
+		return route.Priority
+	}
+	return 0
+}
+
+func (o *Owner) meanService() time.Duration {
+	if o.service == 0 {
+		return usualService
+	}
+	return o.service
+}
+
+// pump opens waiting flows while the upstream has room.
+func (o *Owner) pump(now time.Time) {
+	for o.backlog.Len() > 0 && o.requests < o.limit() {
+		if now.Before(o.coldTill) && !o.ramp.admit(now) {
+			return
+		}
+		w, _ := o.backlog.Next()
+		if reason := o.barred(w.Key, &w.Envelope); reason != "" {
+			o.handOn(now, w.Key, &w.Envelope, w.Packet, reason)
+			continue
+		}
+		o.open(now, w.Key, w.Sequence, w.Packet, &w.Envelope)
+	}
+}
+
+// drainBacklog sends the waiting flows away.
+func (o *Owner) drainBacklog(now time.Time, reason Reason) {
+	for _, w := range o.backlog.Clear() {
+		o.handOn(now, w.Key, &w.Envelope, w.Packet, reason)
+	}
+}
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -171,6 +171,7 @@
 
 	chosen := svc.choose(now, key.Hash(), s.domain)
 	envelope := s.envelope(route, key, true)
+	envelope.Repeated = p.Acknowledged > 0
 	for _, a := range chosen[1:] {
 		envelope.Ranks[envelope.Count] = a.endpoint
 		envelope.Count++
@@ -195,6 +196,7 @@
 		delete(s.flows, key)
 		return
 	}
+	o.envelope.Repeated = true
 	o.agent, o.at = next, now
 	if known := s.flows[key]; known != nil {
 		known.agent = next
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -14,10 +14,20 @@
 )
 
 const (
-	// openTimeout is how long an agent has to note a new flow before the next
-	// one is tried. It is several round trips between failure domains and well
-	// under the 200 ms after which callers repeat an opening packet.
-	openTimeout = 60 * time.Millisecond
+	// minOpenTimeout and maxOpenTimeout bound how long an agent has to note a new
+	// flow before the next one is tried: several round trips between failure
+	// domains, and the 200 ms after which callers repeat an opening packet.
+	minOpenTimeout = 60 * time.Millisecond
+	maxOpenTimeout = 200 * time.Millisecond
+
+	// openTimeoutFactor is by how much it exceeds the usual time to a note, and
+	// noteWeight the weight of old times against a new one.
+	openTimeoutFactor = 4
+	noteWeight        = 8
+
+	// lateTick is by how much a tick may be late before this process is taken to
+	// lack processor time, so that notes may wait unread.
+	lateTick = 20 * time.Millisecond
 
 	// choices is among how many of a flow's ranks the least loaded agent is
 	// chosen. A flow is found again within the ranks an envelope can name.
@@ -118,6 +128,8 @@
 	flows map[flow.Key]*entry
 	opens map[flow.Key]*open
 
+	noted time.Duration // usual time to a note
+
 	// searches are the flows that were looked for and not found yet.
 	searches map[flow.Key]*search
 	searchID uint16
@@ -305,6 +317,7 @@
 	}
 	if pending != nil {
 		known.opened = true
+		s.noted += (now.Sub(pending.at) - s.noted) / noteWeight
 	}
 	known.agent = e.Agent
 	known.at = now
@@ -336,7 +349,7 @@
 func (s *Steer) Due() (time.Time, bool) {
 	var due time.Time
 	for _, o := range s.opens {
-		if at := o.at.Add(openTimeout); due.IsZero() || at.Before(due) {
+		if at := o.at.Add(s.openTimeout()); due.IsZero() || at.Before(due) {
 			due = at
 		}
 	}
@@ -347,8 +360,13 @@
 // and forgets flows that have ended.
 func (s *Steer) Tick(now time.Time) []Action {
 	s.out = s.out[:0]
+	late := s.late(now)
 	for key, o := range s.opens {
-		if now.Sub(o.at) >= openTimeout {
+		if late > 0 {
+			o.at = o.at.Add(late)
+			continue
+		}
+		if now.Sub(o.at) >= s.openTimeout() {
 			s.retry(now, key, o)
 		}
 	}
@@ -356,6 +374,19 @@
 	return s.out
 }
 
+// late returns by how much this tick is late, 0 if it came in time.
+func (s *Steer) late(now time.Time) time.Duration {
+	due, waiting := s.Due()
+	if late := now.Sub(due); waiting && late > lateTick {
+		return late
+	}
+	return 0
+}
+
+func (s *Steer) openTimeout() time.Duration {
+	return min(max(minOpenTimeout, openTimeoutFactor*s.noted), maxOpenTimeout)
+}
+
 func (s *Steer) sweep(now time.Time) {
 	if now.Sub(s.lastSweep) < sweepEvery {
 		return
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/hop/hop.go
@@ -30,13 +30,15 @@
 const MaxRanks = 11
 
 const (
-	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 2 + 2 + 2
+	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 6 + 2 + 2 + 2 + 2
 	rankLength  = 6
 	tagLength   = 8
 
 	flagWantNote = 1
 	flagRefused  = 2
 	flagUnsure   = 4
+	flagLast     = 8
+	flagRepeated = 16
 )
 
 // Errors of Open.
@@ -69,6 +71,10 @@
 	// Refused says in a note that the flow was refused and its caller reset.
 	Refused bool
 
+	// Repeated says that another agent may have the opening packet already, so
+	// that its caller must not be refused.
+	Repeated bool
+
 	// Unsure says that an agent which had the packet before cannot know whether
 	// its upstream has the flow.
 	Unsure bool
@@ -82,6 +88,12 @@
 	// Load and Slots are the agent's, in requests.
 	Load, Slots uint16
 
+	// Best is the agent with the shortest backlog, BestLoad, of those that were
+	// full. Last says that the packet was sent there to wait.
+	Best     flow.Endpoint
+	BestLoad uint16
+	Last     bool
+
 	// Ranks are the agents to try next, in order; only the first Count are set.
 	Ranks [MaxRanks]flow.Endpoint
 	Count int
@@ -122,6 +134,8 @@
 	dst = binary.BigEndian.AppendUint16(dst, e.Load)
 	dst = binary.BigEndian.AppendUint16(dst, e.Slots)
 	dst = binary.BigEndian.AppendUint16(dst, e.Search)
+	dst = appendEndpoint(dst, e.Best)
+	dst = binary.BigEndian.AppendUint16(dst, e.BestLoad)
 	for _, rank := range e.Ranks[:e.Count] {
 		dst = appendEndpoint(dst, rank)
 	}
@@ -162,6 +176,8 @@
 func (e *Envelope) read(datagram []byte) {
 	e.WantNote = datagram[2]&flagWantNote != 0
 	e.Refused = datagram[2]&flagRefused != 0
+	e.Repeated = datagram[2]&flagRepeated != 0
+	e.Last = datagram[2]&flagLast != 0
 	e.Unsure = datagram[2]&flagUnsure != 0
 	e.Revision = binary.BigEndian.Uint64(datagram[4:])
 	e.Service = binary.BigEndian.Uint32(datagram[12:])
@@ -170,6 +186,8 @@
 	e.Load = binary.BigEndian.Uint16(datagram[28:])
 	e.Slots = binary.BigEndian.Uint16(datagram[30:])
 	e.Search = binary.BigEndian.Uint16(datagram[32:])
+	e.Best = endpointAt(datagram[34:])
+	e.BestLoad = binary.BigEndian.Uint16(datagram[40:])
 	for i := range e.Count {
 		e.Ranks[i] = endpointAt(datagram[fixedLength+i*rankLength:])
 	}
@@ -183,6 +201,12 @@
 	if e.Refused {
 		flags |= flagRefused
 	}
+	if e.Repeated {
+		flags |= flagRepeated
+	}
+	if e.Last {
+		flags |= flagLast
+	}
 	if e.Unsure {
 		flags |= flagUnsure
 	}
--- /dev/null
+++ b/internal/state/backlog/backlog.go
@@ -0,0 +1,94 @@
+// Package backlog holds the flows that wait for room at an upstream. It is made
+// for short overload, such as the surge after an outage or the loss of a failure
+// domain: callers that can still be served in time wait their turn, the most
+// urgent first, and all others are refused at once.
+package backlog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// Waiting is a flow that is not open yet.
+type Waiting struct {
+	Key flow.Key
+
+	// Priority orders the backlog: the lowest goes first.
+	Priority int
+
+	// Until is when the caller no longer waits for the flow to open.
+	Until time.Time
+
+	// Sequence and Packet are those of the opening packet, Envelope how it came.
+	Sequence uint32
+	Packet   []byte
+	Envelope hop.Envelope
+}
+
+// Backlog is ordered by priority, then by arrival. It is not safe for concurrent use.
+type Backlog struct {
+	waiting []Waiting
+}
+
+// Len returns how many flows wait.
+func (b *Backlog) Len() int {
+	return len(b.waiting)
+}
+
+// Ahead returns how many flows would go before one of a priority.
+func (b *Backlog) Ahead(priority int) int {
+	return b.place(priority)
+}
+
+// Holds reports whether a flow waits under the given opening packet.
+func (b *Backlog) Holds(key flow.Key, sequence uint32) bool {
+	return slices.ContainsFunc(b.waiting, func(w Waiting) bool { return w.Key == key && w.Sequence == sequence })
+}
+
+// Add puts a flow behind those of its priority.
+func (b *Backlog) Add(w Waiting) {
+	b.waiting = slices.Insert(b.waiting, b.place(w.Priority), w)
+}
+
+// Next takes the first flow out.
+func (b *Backlog) Next() (Waiting, bool) {
+	if len(b.waiting) == 0 {
+		return Waiting{}, false
+	}
+	next := b.waiting[0]
+	b.waiting = slices.Delete(b.waiting, 0, 1)
+	return next, true
+}
+
+// Expire takes out the flows whose callers no longer wait.
+func (b *Backlog) Expire(now time.Time) []Waiting {
+	var expired []Waiting
+	b.waiting = slices.DeleteFunc(b.waiting, func(w Waiting) bool {
+		if now.Before(w.Until) {
+			return false
+		}
+		expired = append(expired, w)
+		return true
+	})
+	return expired
+}
+
+// Clear takes all flows out.
+func (b *Backlog) Clear() []Waiting {
+	all := b.waiting
+	b.waiting = nil
+	return all
+}
+
+func (b *Backlog) place(priority int) int {
+	place, _ := slices.BinarySearchFunc(b.waiting, priority, func(w Waiting, priority int) int {
+		if w.Priority <= priority {
+			return -1
+		}
+		return 1
+	})
+	return place
+}
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -146,7 +146,7 @@
 // ended, at most for a time.
 func (t *Outlet) Stop(most time.Duration) {
 	t.mu.Lock()
-	t.carryOut(t.core.Stop())
+	t.carryOut(t.core.Stop(time.Now()))
 	t.weigh()
 	t.mu.Unlock()
 	t.link.Leave()
