Turn to the last to come once the longest waiting would be late

After an outage the backlog was served in order, which made everyone late for three seconds. Of one priority the newest now goes first as soon as the oldest cannot be answered in time. An agent that has no configuration yet holds opening packets, and a process without one asks the store every 100 ms and its seeds every 200 ms: with the store silent after a whole kill the first configuration had come 0.6 to 1.5 s late.

--- a/internal/coordination/member/beat.go
+++ b/internal/coordination/member/beat.go
@@ -36,7 +36,7 @@
 }
 
 func (n *Node) beat(now time.Time) []Send {
-	if now.Sub(n.lastBeat) < HeartbeatEvery {
+	if now.Sub(n.lastBeat) < n.beatEvery(now) {
 		return nil
 	}
 	n.lastBeat = now
@@ -58,6 +58,15 @@
 	return sends
 }
 
+// beatEvery returns the time between two heartbeats. A process that has just
+// started and that nobody knows yet calls more often.
+func (n *Node) beatEvery(now time.Time) time.Duration {
+	if n.lastAck.IsZero() && !n.started.IsZero() && now.Sub(n.started) < joinFor {
+		return joinEvery
+	}
+	return HeartbeatEvery
+}
+
 func (n *Node) heartbeat(to netip.AddrPort) Message {
 	m := n.message(Heartbeat)
 	m.PeersHash = roster.HashOf(n.peerAgents)
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -34,6 +34,9 @@
 	// TickEvery is how often Tick must be called.
 	TickEvery = 100 * time.Millisecond
 
+	joinEvery = 200 * time.Millisecond // between heartbeats until the first acknowledgement
+	joinFor   = 10 * time.Second       // after that the usual time is kept
+
 	pushEvery       = 200 * time.Millisecond
 	digestEvery     = 2 * time.Second
 	lostDigestEvery = 4 // digests, of which one goes to a balancer that is taken for dead
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -43,6 +43,8 @@
 		o.tell(key, e, false)
 	case Full:
 		o.full(now, key, e, p)
+	case Unconfigured:
+		o.wait(now, key, e, p)
 	default:
 		o.handOn(now, key, e, p.Raw, reason)
 	}
@@ -71,7 +73,13 @@
 	if o.requests >= o.room(e) || o.backlog.Len() > 0 {
 		return Full
 	}
-	if now.Before(o.coldTill) && !o.ramp.admit(now) {
+	if !now.Before(o.coldTill) {
+		return ""
+	}
+	if o.cfg.Revision == 0 {
+		return Unconfigured // what a cold upstream bears is not known
+	}
+	if !o.ramp.admit(now) {
 		return Cold
 	}
 	return ""
@@ -82,8 +90,6 @@
 	switch {
 	case o.upstream == nil:
 		return NoUpstream
-	case o.cfg.Revision == 0:
-		return Unconfigured
 	case o.upstream.State != flow.Serving:
 		return Leaving
 	case o.stopping:
@@ -132,7 +138,7 @@
 // unsure reports whether the caller had better repeat its opening packet.
 func (o *Owner) unsure(now time.Time, reason Reason) bool {
 	switch reason {
-	case NoUpstream, Unconfigured, NoAnswer, Silent, WrongService, RouteDropped:
+	case NoUpstream, NoAnswer, Silent, WrongService, RouteDropped:
 		return true
 	}
 	return now.Sub(o.started) < startUp
--- a/internal/coordination/owner/room.go
+++ b/internal/coordination/owner/room.go
@@ -71,7 +71,7 @@
 
 // wait puts a flow into the backlog, unless its turn would come too late.
 func (o *Owner) wait(now time.Time, key flow.Key, e *hop.Envelope, p *flow.Packet) {
-	priority := o.priority(key)
+	priority, hurry := o.urgency(key)
 	expected := o.meanService() * time.Duration(o.backlog.Ahead(priority)+1) / time.Duration(o.slots())
 	if expected > maxWait {
 		o.handOn(now, key, e, p.Raw, Overloaded)
@@ -79,18 +79,21 @@
 	}
 
 	o.backlog.Add(backlog.Waiting{
-		Key: key, Priority: priority, Until: now.Add(callerPatience),
+		Key: key, Priority: priority, Hurry: now.Add(hurry), Until: now.Add(callerPatience),
 		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
 	})
 	o.actions = append(o.actions, Action{Verb: Hold, Reason: Queued, Key: key, Load: o.requests})
 	o.tell(key, e, false)
 }
 
-func (o *Owner) priority(key flow.Key) int {
-	if route := o.routes[key.Service]; route != nil {
-		return route.Priority
+// urgency returns the priority of a flow's requests, and how long it may wait
+// so that its answer still comes within the route's objective.
+func (o *Owner) urgency(key flow.Key) (int, time.Duration) {
+	route := o.routes[key.Service]
+	if route == nil {
+		return 0, 0
 	}
-	return 0
+	return route.Priority, max(0, route.Objective.Duration()-2*o.meanService())
 }
 
 func (o *Owner) meanService() time.Duration {
@@ -103,10 +106,10 @@
 // pump opens waiting flows while the upstream has room.
 func (o *Owner) pump(now time.Time) {
 	for o.backlog.Len() > 0 && o.requests < o.limit() {
-		if now.Before(o.coldTill) && !o.ramp.admit(now) {
+		if now.Before(o.coldTill) && (o.cfg.Revision == 0 || !o.ramp.admit(now)) {
 			return
 		}
-		w, _ := o.backlog.Next()
+		w, _ := o.backlog.Next(now)
 		if reason := o.barred(w.Key, &w.Envelope); reason != "" {
 			o.handOn(now, w.Key, &w.Envelope, w.Packet, reason)
 			continue
--- a/internal/state/backlog/backlog.go
+++ b/internal/state/backlog/backlog.go
@@ -19,6 +19,9 @@
 	// Priority orders the backlog: the lowest goes first.
 	Priority int
 
+	// Hurry is until when the flow must open for its answer to be in time.
+	Hurry time.Time
+
 	// Until is when the caller no longer waits for the flow to open.
 	Until time.Time
 
@@ -28,7 +31,10 @@
 	Envelope hop.Envelope
 }
 
-// Backlog is ordered by priority, then by arrival. It is not safe for concurrent use.
+// Backlog is ordered by priority, then by arrival. Of one priority, the longest
+// waiting goes first while it can be answered in time; once it cannot, the last to
+// come goes first, since a queue that is served in order makes everyone late until
+// the surge has passed. It is not safe for concurrent use.
 type Backlog struct {
 	waiting []Waiting
 }
@@ -53,13 +59,17 @@
 	b.waiting = slices.Insert(b.waiting, b.place(w.Priority), w)
 }
 
-// Next takes the first flow out.
-func (b *Backlog) Next() (Waiting, bool) {
+// Next takes the flow out whose turn it is.
+func (b *Backlog) Next(now time.Time) (Waiting, bool) {
 	if len(b.waiting) == 0 {
 		return Waiting{}, false
 	}
-	next := b.waiting[0]
-	b.waiting = slices.Delete(b.waiting, 0, 1)
+	turn := 0
+	if now.After(b.waiting[0].Hurry) {
+		turn = b.place(b.waiting[0].Priority) - 1
+	}
+	next := b.waiting[turn]
+	b.waiting = slices.Delete(b.waiting, turn, turn+1)
 	return next, true
 }
 
--- a/internal/transport/link/source.go
+++ b/internal/transport/link/source.go
@@ -13,6 +13,11 @@
 	// within seconds of its return.
 	sourcePause = 500 * time.Millisecond
 
+	// firstPause and firstTimeout are those of a process that has no configuration
+	// at all and can serve nobody. The timeout doubles up to the store's own.
+	firstPause   = 100 * time.Millisecond
+	firstTimeout = 250 * time.Millisecond
+
 	// sourceIdle is how often a process that leaves the watch to others looks
 	// whether it has become a watcher.
 	sourceIdle = time.Second
@@ -22,6 +27,7 @@
 // each failure domain, the first on the ring, wait at the store; the others hear
 // of changes from them, and read once for themselves when they start.
 func (l *Link) FollowOperators(ctx context.Context, operators coriandershift.Operators) {
+	l.readFirstOf(ctx, operators)
 	for ctx.Err() == nil {
 		if l.rank() >= watchersPerDomain && l.Config().Revision > 0 && !l.isolated() {
 			sleep(ctx, sourceIdle)
@@ -39,6 +45,23 @@
 	}
 }
 
+// readFirstOf reads until there is a configuration, from the store or from a peer.
+func (l *Link) readFirstOf(ctx context.Context, operators coriandershift.Operators) {
+	timeout := firstTimeout
+	for ctx.Err() == nil && l.Config().Revision == 0 {
+		call, cancel := context.WithTimeout(ctx, timeout)
+		cfg, err := operators.Load(call)
+		cancel()
+		l.noteStore(err)
+		if err == nil {
+			l.Adopt(cfg, "store")
+			return
+		}
+		timeout *= 2
+		sleep(ctx, firstPause)
+	}
+}
+
 // followOnce reads the configuration and waits for one change.
 func (l *Link) followOnce(ctx context.Context, operators coriandershift.Operators) error {
 	cfg, err := operators.Load(ctx)
