Know from a census whether a starting balancer knows all agents

The first balancer on the ring keeps the members' addresses in the store; a starting one takes its agents for known when it has heard of all of them, and answers callers of lost flows only then. Tried first: a fixed 3 s, and the census alone.

--- a/cmd/coriandershift-forward/cmd_balancer.go
+++ b/cmd/coriandershift-forward/cmd_balancer.go
@@ -61,6 +61,7 @@
 	go d.link.FollowOperators(ctx, platform.NewOperators(d.store))
 	go d.link.FollowSeeds(ctx)
 	go d.link.AnnounceSeed(ctx)
+	go d.link.KeepCensus(ctx)
 	d.log.Info("balancer started", "address", d.settings.Address)
 
 	select {
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -65,10 +65,13 @@
 	if now.Sub(n.lastDigest) < digestEvery {
 		return nil
 	}
-	n.lastDigest = now
+	targets := n.peers(1)
+	if len(targets) == 0 && len(n.roster.LostBalancers()) == 0 {
+		return nil // the first one goes out as soon as a peer is known
+	}
 
+	n.lastDigest = now
 	n.digests++
-	targets := n.peers(1)
 	if n.digests%lostDigestEvery == 0 {
 		targets = append(targets, n.lost()...)
 	}
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -58,6 +58,11 @@
 	return before
 }
 
+// First reports whether the node is the first balancer on the ring.
+func (n *Node) First() bool {
+	return len(n.ring) > 0 && n.ring[0].Address == n.self.Address
+}
+
 func (n *Node) isHomeOf(address netip.AddrPort) bool {
 	if address == n.self.Address {
 		return false
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -24,13 +24,21 @@
 	// within the first ranks, which shift as agents come and go.
 	maxAsked = 24
 
-	// maxSearches bounds the searches that are remembered.
-	maxSearches = 8192
+	// maxSearches bounds the searches that are remembered; about 1.4 KB each while
+	// their packets are kept.
+	maxSearches = 2048
 
-	// settleTime is how long after its start a balancer may not know all agents:
-	// they send a heartbeat a second, which is passed on within another.
+	// settleEvery is how often a starting balancer looks whether it knows all agents.
+	settleEvery = 100 * time.Millisecond
+
+	// settleTime is how long after its start a balancer learns what the others
+	// know: a digest goes out every two seconds.
 	settleTime = 3 * time.Second
 
+	// settleLatest is when a balancer goes by the agents that it knows, even if
+	// some that were known before are missing.
+	settleLatest = 10 * time.Second
+
 	// deadDoubt is how long an agent that is taken for dead may still come back
 	// beside an upstream with open flows.
 	deadDoubt = 5 * time.Second
@@ -39,7 +47,6 @@
 // search is a flow that is looked for.
 type search struct {
 	began time.Time
-	tries int
 
 	// id is in the envelopes of the search, so that late answers to an earlier
 	// one do not count.
@@ -58,6 +65,9 @@
 
 	// answered says that the search came to its end.
 	answered bool
+
+	// packet is kept while the balancer does not know all agents.
+	packet []byte
 }
 
 // lookup looks for the agent that has a flow. The packet goes along the ranks of
@@ -76,6 +86,9 @@
 		s.chain(key, packet, route, agents, nil)
 		return
 	}
+	if f != nil && f.answered && !f.unsure && f.members == s.members && !s.settled {
+		return // nobody new to ask
+	}
 	if f == nil {
 		f = &search{answered: true}
 		if len(s.searches) < maxSearches {
@@ -85,7 +98,10 @@
 
 	broken := !f.answered
 	s.searchID++
-	*f = search{began: now, tries: f.tries + 1, id: s.searchID, members: s.members, chained: !broken}
+	*f = search{began: now, id: s.searchID, members: s.members, chained: !broken}
+	if !s.settled {
+		f.packet = slices.Clone(packet)
+	}
 	if f.chained {
 		s.chain(key, packet, route, agents, f)
 		return
@@ -136,7 +152,7 @@
 	}
 
 	f.answered = true
-	if f.unsure || len(dead) > 0 || now.Sub(s.started) < settleTime || p.Reset {
+	if f.unsure || len(dead) > 0 || !s.settled || p.Reset {
 		s.ask(key, p.Raw, route, dead, f)
 		s.out = append(s.out, Action{Verb: Drop, Reason: NotFound, Key: key})
 		return
@@ -145,6 +161,53 @@
 	s.out = append(s.out, Action{Verb: Reset, Reason: Gone, Key: key, Sequence: p.Acknowledged})
 }
 
+// Expect names the members that were known before the balancer started.
+func (s *Steer) Expect(members []flow.Endpoint) {
+	s.expected = members
+	s.counted = true
+}
+
+// settle finds out whether all agents are known: those that were known before
+// have been heard of, or had the time for it. Callers that could not be answered
+// until then are answered now.
+func (s *Steer) settle(now time.Time) {
+	age := now.Sub(s.started)
+	if s.settled || (age < settleLatest && !s.complete(age)) {
+		return
+	}
+
+	s.settled = true
+	for key, f := range s.searches {
+		route := s.routes[key.Service]
+		if f.packet == nil || route == nil || s.flows[key] != nil {
+			continue
+		}
+		f.began, f.answered = time.Time{}, true
+		s.lookup(now, key, f.packet, route, flow.Endpoint{})
+		f.packet = nil
+	}
+}
+
+// complete reports whether all members that were known before are known again.
+// The list of them may lack the latest ones: unless all balancers started anew,
+// it takes settleTime as well to learn what the others know.
+func (s *Steer) complete(age time.Duration) bool {
+	for _, settled := range s.balancers {
+		if settled && age < settleTime {
+			return false
+		}
+	}
+	return s.counted && !slices.ContainsFunc(s.expected, func(e flow.Endpoint) bool {
+		_, balancer := s.balancers[e]
+		return !balancer && s.agents[e] == nil
+	})
+}
+
+// Settled reports whether all agents are known.
+func (s *Steer) Settled() bool {
+	return s.settled
+}
+
 // note records which agents do not have the flow: those that a chain went along
 // in the order of agents, or the one that was asked alone.
 func (f *search) note(e *hop.Envelope, agents []*agent) {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -134,6 +134,15 @@
 	searches map[flow.Key]*search
 	searchID uint16
 
+	// expected are the members that were known before the start, if counted;
+	// settled says that all agents are known. balancers are this one and the
+	// others, with whether the others are settled.
+	expected  []flow.Endpoint
+	balancers map[flow.Endpoint]bool
+	counted   bool
+	settled   bool
+	lastTick  time.Time
+
 	lastSweep time.Time
 	out       []Action
 }
@@ -175,13 +184,15 @@
 func (s *Steer) Members(now time.Time, cfg *config.Config, members []roster.Member) {
 	s.members++
 	s.services = map[string]*service{}
+	s.balancers = map[flow.Endpoint]bool{}
 	known := map[flow.Endpoint]*agent{}
 	for i := range members {
 		m := &members[i]
+		endpoint := flow.EndpointOf(m.Address)
 		if m.Role != roster.Agent {
+			s.balancers[endpoint] = endpoint != s.self && m.State == roster.Alive && m.Weight > 0
 			continue
 		}
-		endpoint := flow.EndpointOf(m.Address)
 		a := s.agents[endpoint]
 		if a == nil || a.member.Incarnation != m.Incarnation {
 			a = &agent{endpoint: endpoint}
@@ -348,6 +359,9 @@
 // Due returns when Tick has something to do, and false if it has nothing.
 func (s *Steer) Due() (time.Time, bool) {
 	var due time.Time
+	if !s.settled && len(s.searches) > 0 {
+		due = s.lastTick.Add(settleEvery)
+	}
 	for _, o := range s.opens {
 		if at := o.at.Add(s.openTimeout()); due.IsZero() || at.Before(due) {
 			due = at
@@ -361,6 +375,8 @@
 func (s *Steer) Tick(now time.Time) []Action {
 	s.out = s.out[:0]
 	late := s.late(now)
+	s.lastTick = now
+	s.settle(now)
 	for key, o := range s.opens {
 		if late > 0 {
 			o.at = o.at.Add(late)
@@ -377,7 +393,7 @@
 // late returns by how much this tick is late, 0 if it came in time.
 func (s *Steer) late(now time.Time) time.Duration {
 	due, waiting := s.Due()
-	if late := now.Sub(due); waiting && late > lateTick {
+	if late := now.Sub(due); waiting && s.settled && late > lateTick {
 		return late
 	}
 	return 0
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -18,6 +18,7 @@
 	"github.com/coriandershift/coriandershift/internal/protocol/hop"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
 	"github.com/coriandershift/coriandershift/internal/transport/link"
 	"github.com/coriandershift/coriandershift/internal/transport/metric"
 )
@@ -42,6 +43,7 @@
 	mu       sync.Mutex
 	core     *steer.Steer
 	revision uint64
+	settled  bool
 	timer    *time.Timer
 	due      time.Time
 	buffer   []byte
@@ -85,6 +87,7 @@
 	go n.link.Run(ctx)
 	go n.follow(ctx)
 	go n.tick(ctx)
+	go n.expect(ctx)
 
 	failed := make(chan error, 2)
 	go func() { failed <- n.readCallers() }()
@@ -173,6 +176,23 @@
 	n.metrics.Members.Set(float64(len(members)))
 }
 
+// expect learns which members were known before this process started.
+func (n *Inlet) expect(ctx context.Context) {
+	members, err := n.link.Census(ctx)
+	if err != nil {
+		n.log.Info("no census", "error", err)
+		return
+	}
+	expected := make([]flow.Endpoint, 0, len(members))
+	for _, a := range members {
+		expected = append(expected, flow.EndpointOf(a))
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.core.Expect(expected)
+	n.log.Info("census read", "members", len(expected))
+}
+
 func (n *Inlet) tick(ctx context.Context) {
 	for {
 		select {
@@ -184,6 +204,11 @@
 		n.due = time.Time{}
 		n.carryOut(n.core.Tick(time.Now()))
 		n.metrics.Connections.Set(float64(n.core.Flows()))
+		if n.core.Settled() && !n.settled {
+			n.settled = true
+			n.log.Info("all agents are known", "agents", n.core.Agents())
+			n.link.SetWeight(roster.MaxWeight)
+		}
 		if n.due.IsZero() {
 			n.timer.Reset(sweepEvery)
 		}
