Settle together after a whole restart, and leave empty agents out of doubt

Lost flows were still in doubt for ten seconds after a power-off: the census named members that had left, since only the first balancer on the ring wrote it and that one was new; agents beside removed upstreams were asked and could not know; and those that then left counted as just died. Any balancer that knows all agents may write the census now, an agent that hears nothing probes its upstream's address once and says that it is empty, and balancers that started together need not wait for each other. Each doubt has a reason of its own in the log, and changes of members are logged. Ruled out: digests (peers knew all agents within a second).

--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -170,6 +170,15 @@
 	n.lastBeat = time.Time{}
 }
 
+// SetEmpty tells whether the node is an agent without flows.
+func (n *Node) SetEmpty(empty bool) {
+	if n.self.Empty == empty {
+		return
+	}
+	n.self.Empty = empty
+	n.lastBeat = time.Time{}
+}
+
 // Leave announces that the node takes nothing new from now on.
 func (n *Node) Leave() {
 	n.self.State = roster.Leaving
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -58,9 +58,18 @@
 	return before
 }
 
-// First reports whether the node is the first balancer on the ring.
+// First reports whether the node is the first on the ring of the balancers that
+// take traffic, as their weight tells.
 func (n *Node) First() bool {
-	return len(n.ring) > 0 && n.ring[0].Address == n.self.Address
+	for i := range n.ring {
+		if n.ring[i].Address == n.self.Address {
+			return n.self.Weight > 0
+		}
+		if n.ring[i].Weight > 0 && n.ring[i].State == roster.Alive {
+			return false
+		}
+	}
+	return false
 }
 
 func (n *Node) isHomeOf(address netip.AddrPort) bool {
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -30,6 +30,10 @@
 	// closedLinger is how long a closed flow is remembered for late packets.
 	closedLinger = 5 * time.Second
 
+	// firstAnnouncement is how long an upstream that lives takes to announce itself
+	// to an agent that has just started; its heartbeats come every second or faster.
+	firstAnnouncement = 1200 * time.Millisecond
+
 	// sweepEvery is the time between two passes over the table.
 	sweepEvery = time.Second
 
@@ -132,6 +136,7 @@
 	limits   config.Limits
 	upstream *flow.Announcement
 	gone     *flow.Announcement // the incarnation that said goodbye
+	absent   bool               // nothing listens at the upstream's address
 	heardAt  time.Time
 	coldTill time.Time
 	ramp     ramp
@@ -220,6 +225,7 @@
 	// One more opening packet tries a silent upstream that still announces itself.
 	o.unheard = min(o.unheard, silentAfter-1)
 	o.upstream = &a
+	o.absent = false
 	o.heardAt = now
 	o.coldTill = now.Add(a.WarmUpLeft)
 	return true, o.actions
@@ -261,6 +267,7 @@
 // Ended takes the news that nothing listens at the upstream's address any more.
 func (o *Owner) Ended() []Action {
 	o.actions = o.actions[:0]
+	o.absent = true
 	if o.upstream != nil {
 		o.gone = o.upstream
 		o.upstream = nil
@@ -294,9 +301,18 @@
 	return o.upstream != nil && now.Sub(o.heardAt) > lapseAfter
 }
 
-// Silent reports whether the upstream leaves opening packets unanswered.
-func (o *Owner) Silent() bool {
-	return o.upstream != nil && o.unheard >= silentAfter
+// Doubtful reports whether the upstream may have ended without a word: it leaves
+// opening packets unanswered, or has not announced itself since the agent's start.
+func (o *Owner) Doubtful(now time.Time) bool {
+	if o.upstream == nil {
+		return !o.absent && o.gone == nil && now.Sub(o.started) > firstAnnouncement
+	}
+	return o.unheard >= silentAfter
+}
+
+// Empty reports whether the upstream is surely gone, and its flows with it.
+func (o *Owner) Empty() bool {
+	return o.upstream == nil && (o.gone != nil || o.absent)
 }
 
 // Upstream returns the upstream's last announcement, or nil.
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -168,10 +168,7 @@
 
 // certain reports whether a flow that is not in the table is surely not at the upstream.
 func (o *Owner) certain() bool {
-	if o.upstream == nil {
-		return o.gone != nil
-	}
-	return !o.mayOffer
+	return o.Empty() || (o.upstream != nil && !o.mayOffer)
 }
 
 // offering reports whether the upstream may have flows from before the agent's start.
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -152,15 +152,28 @@
 	}
 
 	f.answered = true
-	if f.unsure || len(dead) > 0 || !s.settled || p.Reset {
+	if doubt := s.doubt(f, dead); doubt != "" || p.Reset {
 		s.ask(key, p.Raw, route, dead, f)
-		s.out = append(s.out, Action{Verb: Drop, Reason: NotFound, Key: key})
+		s.out = append(s.out, Action{Verb: Drop, Reason: doubt, Key: key})
 		return
 	}
 	delete(s.searches, key)
 	s.out = append(s.out, Action{Verb: Reset, Reason: Gone, Key: key, Sequence: p.Acknowledged})
 }
 
+// doubt returns why a flow that nobody has may exist all the same, or nothing.
+func (s *Steer) doubt(f *search, dead []*agent) Reason {
+	switch {
+	case f.unsure:
+		return NotFoundUnsure
+	case len(dead) > 0:
+		return NotFoundDead
+	case !s.settled:
+		return NotFoundUnsettled
+	}
+	return ""
+}
+
 // Expect names the members that were known before the balancer started.
 func (s *Steer) Expect(members []flow.Endpoint) {
 	s.expected = members
@@ -240,7 +253,7 @@
 			case a.endpoint == except:
 			case a.member.State != roster.Dead:
 				living = append(living, a)
-			case now.Sub(a.deadSince) < deadDoubt:
+			case now.Sub(a.deadSince) < deadDoubt && !a.member.Empty:
 				dead = append(dead, a)
 			}
 		}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -81,16 +81,21 @@
 
 // The reasons.
 const (
-	Placed      Reason = "placed"
-	PlacedNext  Reason = "placedNextAfterSilence"
-	Lookup      Reason = "lookup"
-	LookupAll   Reason = "lookupAtAll"
-	Gone        Reason = "flowGone"
-	NoRoute     Reason = "noRoute"
-	NoUpstream  Reason = "noUpstream"
-	NotFound    Reason = "notFound"
-	RouteUnsure Reason = "noRouteConfigUnsure"
-	Malformed   Reason = "malformed"
+	Placed     Reason = "placed"
+	PlacedNext Reason = "placedNextAfterSilence"
+	Lookup     Reason = "lookup"
+	LookupAll  Reason = "lookupAtAll"
+	Gone       Reason = "flowGone"
+	NoRoute    Reason = "noRoute"
+	NoUpstream Reason = "noUpstream"
+
+	// A flow that no agent has may exist if an agent could not tell, if one died a
+	// moment ago, or if this balancer does not know all agents yet.
+	NotFoundUnsure    Reason = "notFoundAgentUnsure"
+	NotFoundDead      Reason = "notFoundAgentDied"
+	NotFoundUnsettled Reason = "notFoundAgentsUnknown"
+	RouteUnsure       Reason = "noRouteConfigUnsure"
+	Malformed         Reason = "malformed"
 )
 
 type entry struct {
@@ -136,7 +141,7 @@
 
 	// expected are the members that were known before the start, if counted;
 	// settled says that all agents are known. balancers are this one and the
-	// others, with whether the others are settled.
+	// others, with whether they knew all agents when they were first heard of.
 	expected  []flow.Endpoint
 	balancers map[flow.Endpoint]bool
 	counted   bool
@@ -150,17 +155,18 @@
 // New returns a Steer for the balancer at an address and failure domain.
 func New(self flow.Endpoint, domain string, now time.Time) *Steer {
 	return &Steer{
-		started:  now,
-		self:     self,
-		domain:   domain,
-		idle:     defaultIdle,
-		routes:   map[flow.Endpoint]*config.Route{},
-		services: map[string]*service{},
-		agents:   map[flow.Endpoint]*agent{},
-		flows:    map[flow.Key]*entry{},
-		opens:    map[flow.Key]*open{},
-		searches: map[flow.Key]*search{},
-		former:   map[flow.Endpoint][]string{},
+		started:   now,
+		self:      self,
+		domain:    domain,
+		idle:      defaultIdle,
+		routes:    map[flow.Endpoint]*config.Route{},
+		services:  map[string]*service{},
+		agents:    map[flow.Endpoint]*agent{},
+		balancers: map[flow.Endpoint]bool{},
+		flows:     map[flow.Key]*entry{},
+		opens:     map[flow.Key]*open{},
+		searches:  map[flow.Key]*search{},
+		former:    map[flow.Endpoint][]string{},
 	}
 }
 
@@ -184,13 +190,14 @@
 func (s *Steer) Members(now time.Time, cfg *config.Config, members []roster.Member) {
 	s.members++
 	s.services = map[string]*service{}
-	s.balancers = map[flow.Endpoint]bool{}
 	known := map[flow.Endpoint]*agent{}
 	for i := range members {
 		m := &members[i]
 		endpoint := flow.EndpointOf(m.Address)
 		if m.Role != roster.Agent {
-			s.balancers[endpoint] = endpoint != s.self && m.State == roster.Alive && m.Weight > 0
+			if _, seen := s.balancers[endpoint]; !seen {
+				s.balancers[endpoint] = endpoint != s.self && m.State == roster.Alive && m.Weight > 0
+			}
 			continue
 		}
 		a := s.agents[endpoint]
--- a/internal/state/roster/member.go
+++ b/internal/state/roster/member.go
@@ -69,6 +69,9 @@
 
 	// Weight is the share of new flows that an agent asks for, 0 to MaxWeight.
 	Weight uint8 `cbor:"10,keyasint"`
+
+	// Empty says that an agent of forwarded flows has none: its upstream is gone.
+	Empty bool `cbor:"11,keyasint,omitempty"`
 }
 
 const (
@@ -95,6 +98,9 @@
 	return m.State == Dead && now.Sub(last) > after
 }
 
+// emptyBit marks an empty member in its hash, beside its state.
+const emptyBit = 0x80
+
 // MaxWeight is the weight of an agent whose upstream bears its full load.
 const MaxWeight = 100
 
@@ -133,6 +139,9 @@
 	binary.BigEndian.PutUint64(data[8:], m.Sequence)
 	data[16] = byte(m.State)
 	data[17] = m.Weight
+	if m.Empty {
+		data[16] |= emptyBit
+	}
 	binary.BigEndian.PutUint64(data[18:], Hash(m.Address))
 	return xxhash.Sum64(data[:])
 }
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -164,7 +164,10 @@
 
 func (n *Inlet) apply() {
 	cfg, members := n.link.Config(), n.link.Members()
-	n.link.TakeChanged()
+	for _, m := range n.link.TakeChanged() {
+		n.log.Info("member changed", "member", m.Name, "address", m.Address, "state", m.State.String(),
+			"weight", m.Weight, "incarnation", m.Incarnation, "sequence", m.Sequence)
+	}
 
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/transport/link/census.go
+++ b/internal/transport/link/census.go
@@ -20,16 +20,11 @@
 
 	// censusEvery is the time between two looks at whether it must be written.
 	censusEvery = 2 * time.Second
-
-	// censusAfter is how long after its start a balancer may not know all agents
-	// and does not write; it covers the spread of all heartbeats.
-	censusAfter = 6 * time.Second
 )
 
 // KeepCensus keeps the list of members in the store up to date. Only the first
-// balancer on the ring writes, and only when members came or went.
+// balancer that knows all agents writes, and only when members came or went.
 func (l *Link) KeepCensus(ctx context.Context) {
-	sleep(ctx, censusAfter)
 	var written []netip.AddrPort
 	var revision int64
 	for ; ctx.Err() == nil; sleep(ctx, censusEvery) {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -143,6 +143,13 @@
 	l.node.SetWeight(weight)
 }
 
+// SetEmpty tells whether the process is an agent without flows.
+func (l *Link) SetEmpty(empty bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SetEmpty(empty)
+}
+
 // Leave announces that the process takes nothing new.
 func (l *Link) Leave() {
 	l.mu.Lock()
--- a/internal/transport/outlet/act.go
+++ b/internal/transport/outlet/act.go
@@ -16,6 +16,10 @@
 	// the upstream's address. It is on the same VM.
 	probeTimeout = 500 * time.Millisecond
 
+	// probeAfter is how long after its start an agent that has not heard its
+	// upstream looks for it; upstreams announce themselves as soon as they start.
+	probeAfter = 250 * time.Millisecond
+
 	// probePause is the time between two probes of a silent upstream.
 	probePause = time.Second
 )
@@ -93,6 +97,19 @@
 	}
 }
 
+// probeFirst looks for the upstream of an agent that has just started and heard
+// of none, so that callers of its lost flows need not wait.
+func (t *Outlet) probeFirst() {
+	time.Sleep(probeAfter)
+	t.mu.Lock()
+	silent := t.core.Upstream() == nil && !t.probing
+	t.probing = t.probing || silent
+	t.mu.Unlock()
+	if silent {
+		t.probe()
+	}
+}
+
 // probe finds out whether a silent upstream is gone: a refused connection shows
 // that nothing listens at its address.
 func (t *Outlet) probe() {
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -102,6 +102,7 @@
 	go t.link.Run(ctx)
 	go t.follow(ctx)
 	go t.tick(ctx)
+	go t.probeFirst()
 
 	failed := make(chan error, 2)
 	go func() { failed <- t.readUpstream() }()
@@ -268,17 +269,18 @@
 // weigh tells the balancers whether the upstream takes new flows. It must be
 // called with the lock held.
 func (t *Outlet) weigh() {
-	accepting := t.core.Accepting()
+	accepting, doubtful := t.core.Accepting(), t.core.Doubtful(time.Now())
 	if accepting != t.accepting {
 		t.accepting = accepting
-		t.log.Info("taking new flows", "accepting", accepting, "revision", t.revision, "silent", t.core.Silent())
+		t.log.Info("taking new flows", "accepting", accepting, "revision", t.revision, "doubtful", doubtful)
 	}
 	weight := uint8(0)
 	if accepting {
 		weight = roster.MaxWeight
 	}
 	t.link.SetWeight(weight)
-	if t.core.Silent() && !t.probing {
+	t.link.SetEmpty(t.core.Empty())
+	if doubtful && !t.probing {
 		t.probing = true
 		go t.probe()
 	}
