--- /dev/null
+++ b/internal/protocol/hop/hop_test.go
@@ -0,0 +1,107 @@
+package hop_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+)
+
+var codec = hop.New(keyset.Set{Cluster: bytes.Repeat([]byte{7}, keyset.KeyLength)})
+
+func endpoint(last byte) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{10, 0, 0, last}, Port: 7000 + uint16(last)}
+}
+
+func full() hop.Envelope {
+	e := hop.Envelope{
+		Kind: hop.Carry, Revision: 1 << 40, Service: 77, Balancer: endpoint(1), Agent: endpoint(2),
+		WantNote: true, Refused: true, Repeated: true, Unsure: true, Tried: 3, Search: 9,
+		Load: 12, Slots: 5, Best: endpoint(3), BestLoad: 240, Last: true, Count: hop.MaxRanks,
+	}
+	for i := range e.Ranks {
+		e.Ranks[i] = endpoint(byte(10 + i))
+	}
+	return e
+}
+
+func TestEnvelopesComeBack(t *testing.T) {
+	key := flow.Key{Caller: endpoint(8), Service: endpoint(9)}.Append(nil)
+	tests := map[string]struct {
+		envelope hop.Envelope
+		payload  []byte
+	}{
+		"full":  {full(), []byte("packet")},
+		"empty": {hop.Envelope{Kind: hop.Return}, []byte("packet")},
+		"note":  {hop.Envelope{Kind: hop.Note, Agent: endpoint(2)}, key},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, payload, err := codec.Open(codec.Append(nil, &test.envelope, test.payload))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(test.envelope, got); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(test.payload, payload); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestBadEnvelopesAreRefused(t *testing.T) {
+	e := full()
+	good := codec.Append(nil, &e, nil)
+	changed := func(at int, to byte) []byte {
+		bad := bytes.Clone(good)
+		bad[at] = to
+		return bad
+	}
+	short := hop.Envelope{Kind: hop.Note}
+	tests := map[string]struct {
+		datagram []byte
+		want     error
+	}{
+		"nothing":        {nil, hop.ErrTruncated},
+		"cut":            {good[:len(good)-1], hop.ErrTruncated},
+		"unknown kind":   {changed(0, 99), hop.ErrKind},
+		"too many ranks": {changed(1, hop.MaxRanks+1), hop.ErrRanks},
+		"forged":         {changed(9, 1), hop.ErrForged},
+		"note, no key":   {codec.Append(nil, &short, []byte("short")), hop.ErrTruncated},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, _, err := codec.Open(test.datagram); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func TestNextTakesRanksInOrder(t *testing.T) {
+	e := full()
+	for i := range hop.MaxRanks {
+		next, ok := e.Next()
+		if !ok || next != endpoint(byte(10+i)) {
+			t.Fatalf("rank %d: got %v, %v", i, next, ok)
+		}
+	}
+	if _, ok := e.Next(); ok || e.Tried != 3+hop.MaxRanks {
+		t.Errorf("got more ranks, or tried %d", e.Tried)
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	e := full()
+	f.Add(codec.Append(nil, &e, []byte("packet")))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _, _ = codec.Open(data) // must not panic
+	})
+}
