Test the decisions of balancers and agents on forwarded flows

One test found a fault: flows that waited at an upstream that began to drain were taken out of the backlog, and what became of them was lost, so their callers heard nothing. TestWaitingFlowsLeaveADrainingUpstream failed first.

--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -213,9 +213,6 @@
 	if o.upstream != nil && !o.upstream.SameIncarnation(&a) {
 		o.endAll(Gone)
 	}
-	if a.State != flow.Serving {
-		defer func() { o.drainBacklog(now, Leaving) }()
-	}
 	fresh := o.upstream == nil || !o.upstream.SameIncarnation(&a)
 	if fresh {
 		o.mayOffer = o.gone == nil && o.upstream == nil && a.Sequence > freshSequence
@@ -228,6 +225,9 @@
 	o.absent = false
 	o.heardAt = now
 	o.coldTill = now.Add(a.WarmUpLeft)
+	if a.State != flow.Serving {
+		o.drainBacklog(now, Leaving)
+	}
 	return true, o.actions
 }
 
--- /dev/null
+++ b/internal/coordination/owner/owner_test.go
@@ -0,0 +1,440 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+var (
+	start    = time.Unix(1_800_000_000, 0)
+	self     = endpoint(10)
+	balancer = endpoint(1)
+	service  = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+)
+
+const upstreamStart = 7_000_000
+
+func endpoint(last byte) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{10, 0, 0, last}, Port: 7000}
+}
+
+func cfg(revision uint64, change func(*config.Config)) *config.Config {
+	c := &config.Config{
+		Revision: revision,
+		Services: []config.Service{{Name: "svc"}},
+		Routes: []config.Route{{
+			Name: "r", Address: service.AddrPort(), Kind: config.Idempotent, Priority: 2, Objective: 200, Timeout: 2500,
+			Shares: []config.Share{{Service: "svc", Weight: 1}},
+		}},
+	}
+	if change != nil {
+		change(c)
+	}
+	return c
+}
+
+func announcement(change func(*flow.Announcement)) flow.Announcement {
+	a := flow.Announcement{ID: "i-1", Born: 1000, Service: "svc", Slots: 2, State: flow.Serving, Sequence: 1}
+	if change != nil {
+		change(&a)
+	}
+	return a
+}
+
+// ready returns an Owner that takes flows.
+func ready() *owner.Owner {
+	o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start.Add(-time.Minute))
+	o.Configure(start, cfg(1, nil))
+	o.Announce(start, announcement(nil))
+	return o
+}
+
+func envelope(next ...flow.Endpoint) *hop.Envelope {
+	e := &hop.Envelope{Kind: hop.Carry, Revision: 1, Service: config.ServiceHash("svc"), Balancer: balancer, WantNote: true}
+	e.Count = copy(e.Ranks[:], next)
+	return e
+}
+
+func packet(port uint16, change func(*flow.Packet)) *flow.Packet {
+	p := &flow.Packet{
+		Source: flow.Endpoint{IP: [4]byte{100, 64, 0, 7}, Port: port}, Destination: service,
+		Sequence: 1000, Raw: []byte{byte(port >> 8), byte(port)},
+	}
+	change(p)
+	return p
+}
+
+func opening(port uint16) *flow.Packet {
+	return packet(port, func(p *flow.Packet) { p.Open = true })
+}
+
+func data(port uint16) *flow.Packet {
+	return packet(port, func(p *flow.Packet) {
+		p.Ack, p.Acknowledged, p.Sequence, p.Length = true, upstreamStart+1, 1001, 100
+	})
+}
+
+func fromUpstream(port uint16, change func(*flow.Packet)) *flow.Packet {
+	p := packet(port, change)
+	p.Source, p.Destination = p.Destination, p.Source
+	return p
+}
+
+func accepted(port uint16) *flow.Packet {
+	return fromUpstream(port, func(p *flow.Packet) { p.Open, p.Ack, p.Sequence = true, true, upstreamStart })
+}
+
+func answer(port uint16) *flow.Packet {
+	return fromUpstream(port, func(p *flow.Packet) { p.Ack, p.Sequence, p.Length = true, upstreamStart+1, 200 })
+}
+
+func bounced(p *flow.Packet, tag uint32) *flow.Packet {
+	back := *p
+	back.Bounced, back.Tag = true, tag
+	return &back
+}
+
+// open brings a flow to the point where the upstream works on its request.
+func open(t *testing.T, o *owner.Owner, now time.Time, port uint16) {
+	t.Helper()
+	if got := verbs(o.FromBalancer(now, envelope(), opening(port))); got[0] != owner.Deliver {
+		t.Fatalf("flow %d was not opened: %v", port, got)
+	}
+	o.FromUpstream(now, accepted(port))
+	o.FromBalancer(now, envelope(), data(port))
+}
+
+func verbs(actions []owner.Action) []owner.Verb {
+	var list []owner.Verb
+	for _, a := range actions {
+		list = append(list, a.Verb)
+	}
+	return list
+}
+
+func first(actions []owner.Action) (owner.Verb, owner.Reason) {
+	if len(actions) == 0 {
+		return owner.Drop, "none"
+	}
+	return actions[0].Verb, actions[0].Reason
+}
+
+func TestAFlowFromOpeningToEnd(t *testing.T) {
+	o := ready()
+	if diff := cmp.Diff([]owner.Verb{owner.Deliver, owner.Tell}, verbs(o.FromBalancer(start, envelope(), opening(1)))); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff([]owner.Verb{owner.Answer}, verbs(o.FromUpstream(start, accepted(1)))); diff != "" {
+		t.Error(diff)
+	}
+	o.FromBalancer(start, envelope(), data(1))
+	if o.Requests() != 1 {
+		t.Errorf("%d requests, want 1", o.Requests())
+	}
+
+	now := start.Add(30 * time.Millisecond)
+	o.FromUpstream(now, answer(1))
+	done := o.TakeCompletions()
+	if o.Requests() != 0 || len(done) != 1 || done[0].Took != 30*time.Millisecond || done[0].Kind != config.Idempotent {
+		t.Errorf("requests %d, completions %+v", o.Requests(), done)
+	}
+
+	o.FromBalancer(now, envelope(), packet(1, func(p *flow.Packet) { p.Finish, p.Ack, p.Acknowledged = true, true, upstreamStart+201 }))
+	o.FromUpstream(now, fromUpstream(1, func(p *flow.Packet) { p.Finish = true }))
+	o.Tick(now.Add(10 * time.Second))
+	if o.Flows() != 0 {
+		t.Error("a closed flow is still known")
+	}
+}
+
+func TestWhatIsNotOpenedHere(t *testing.T) {
+	tests := map[string]struct {
+		prepare  func(*owner.Owner)
+		envelope func(*hop.Envelope)
+		want     owner.Reason
+	}{
+		"the upstream drains": {func(o *owner.Owner) {
+			o.Announce(start, announcement(func(a *flow.Announcement) { a.State, a.Sequence = flow.Draining, 2 }))
+		}, nil, owner.Leaving},
+		"the upstream has said goodbye": {func(o *owner.Owner) { o.Depart("i-1") }, nil, owner.NoUpstream},
+		"the failure domain is out": {func(o *owner.Owner) {
+			o.Configure(start, cfg(2, func(c *config.Config) { c.Domains = []config.Domain{{Name: "a", Number: 1, Out: true}} }))
+		}, nil, owner.DomainOut},
+		"the route is dropped": {func(o *owner.Owner) {
+			o.Configure(start, cfg(2, func(c *config.Config) { c.Routes = nil }))
+		}, nil, owner.RouteDropped},
+		"the route leads elsewhere now": {func(o *owner.Owner) {
+			o.Configure(start, cfg(2, func(c *config.Config) { c.Routes[0].Shares[0].Service = "other" }))
+		}, nil, owner.WrongService},
+		"the balancer means another service": {nil, func(e *hop.Envelope) { e.Service = 1 }, owner.WrongService},
+		"the agent stops":                    {func(o *owner.Owner) { o.Stop(start) }, nil, owner.Stopping},
+		"the upstream holds all it may": {func(o *owner.Owner) {
+			o.Configure(start, cfg(2, func(c *config.Config) { c.Services[0].Limits.Connections = 1 }))
+			o.FromBalancer(start, envelope(), opening(9))
+		}, nil, owner.TableFull},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := ready()
+			if test.prepare != nil {
+				test.prepare(o)
+			}
+			e := envelope(endpoint(11))
+			if test.envelope != nil {
+				test.envelope(e)
+			}
+			got := o.FromBalancer(start, e, opening(1))
+			if verb, reason := first(got); verb != owner.Forward || reason != test.want || got[0].To != endpoint(11) {
+				t.Errorf("got %+v, want it handed on for %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestABalancerWithALaterConfigurationIsRight(t *testing.T) {
+	o := ready()
+	o.Configure(start, cfg(2, func(c *config.Config) { c.Routes = nil }))
+	e := envelope()
+	e.Revision = 3
+	if verb, reason := first(o.FromBalancer(start, e, opening(1))); verb != owner.Deliver {
+		t.Errorf("got %v for %q", verb, reason)
+	}
+}
+
+func TestDroppedRoutesResetTheirFlows(t *testing.T) {
+	o := ready()
+	open(t, o, start, 1)
+	got := o.Configure(start, cfg(2, func(c *config.Config) { c.Routes = nil }))
+	if verb, reason := first(got); verb != owner.Reset || reason != owner.RouteDropped || got[0].Sequence != upstreamStart+1 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestOpenFlowsSurviveDrainingAndADomainThatIsOut(t *testing.T) {
+	o := ready()
+	open(t, o, start, 1)
+	o.Announce(start, announcement(func(a *flow.Announcement) { a.State, a.Sequence = flow.Draining, 2 }))
+	o.Configure(start, cfg(2, func(c *config.Config) { c.Domains = []config.Domain{{Name: "a", Number: 1, Out: true}} }))
+	if verb, _ := first(o.FromBalancer(start, envelope(), data(1))); verb != owner.Deliver {
+		t.Error("a packet of an open flow was not delivered")
+	}
+}
+
+func TestAnnouncements(t *testing.T) {
+	tests := map[string]struct {
+		next func(*flow.Announcement)
+		want bool
+	}{
+		"the next one":                      {func(a *flow.Announcement) { a.Sequence = 2 }, true},
+		"a late one":                        {func(a *flow.Announcement) { a.Sequence = 0 }, false},
+		"the same again":                    {nil, false},
+		"a new incarnation":                 {func(a *flow.Announcement) { a.ID, a.Born = "i-2", 2000 }, true},
+		"the same ID, started anew":         {func(a *flow.Announcement) { a.Born = 2000 }, true},
+		"an older incarnation, held up":     {func(a *flow.Announcement) { a.ID, a.Born, a.Sequence = "i-0", 500, 99 }, false},
+		"the same ID, an older incarnation": {func(a *flow.Announcement) { a.Born, a.Sequence = 500, 99 }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := ready()
+			if got, _ := o.Announce(start, announcement(test.next)); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestAnAnnouncementHeldUpBeyondTheGoodbyeIsIgnored(t *testing.T) {
+	o := ready()
+	o.Depart("i-1")
+	if news, _ := o.Announce(start, announcement(func(a *flow.Announcement) { a.Sequence = 2 })); news || o.Accepting() {
+		t.Error("an upstream that has said goodbye is back")
+	}
+}
+
+func TestANewIncarnationEndsTheFlowsOfTheOld(t *testing.T) {
+	o := ready()
+	open(t, o, start, 1)
+	_, got := o.Announce(start, announcement(func(a *flow.Announcement) { a.Born = 2000 }))
+	if verb, reason := first(got); verb != owner.Reset || reason != owner.Gone {
+		t.Errorf("got %+v", got)
+	}
+	if o.Requests() != 0 || o.Flows() != 0 {
+		t.Error("flows of the old incarnation are still known")
+	}
+}
+
+// The same opening packet may reach two upstreams; the caller goes on with one.
+func TestPacketsOfAFlowThatIsOpenElsewhereArePassedOn(t *testing.T) {
+	o := ready()
+	o.FromBalancer(start, envelope(), opening(1))
+	o.FromUpstream(start, accepted(1))
+	p := data(1)
+	p.Acknowledged = upstreamStart - 1_000_000
+	got := o.FromBalancer(start, envelope(endpoint(11)), p)
+	if verb, reason := first(got); verb != owner.Forward || reason != owner.NotHeld || got[0].To != endpoint(11) {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestUnknownFlowsGoBackAtLast(t *testing.T) {
+	o := ready()
+	got := o.FromBalancer(start, envelope(), data(1))
+	if len(got) != 1 || got[0].To != balancer || got[0].Envelope.Kind != hop.Return || got[0].Envelope.Unsure {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestAnAgentThatRestartedAsksItsUpstream(t *testing.T) {
+	restarted := func() *owner.Owner {
+		o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+		o.Configure(start, cfg(1, nil))
+		o.Announce(start, announcement(func(a *flow.Announcement) { a.Sequence = 40 }))
+		return o
+	}
+
+	t.Run("it has the flow", func(t *testing.T) {
+		o := restarted()
+		if verb, reason := first(o.FromBalancer(start, envelope(), data(1))); verb != owner.Deliver || reason != owner.Offered {
+			t.Fatalf("got %v for %q", verb, reason)
+		}
+		o.FromUpstream(start, answer(1))
+		if verb, reason := first(o.FromBalancer(start, envelope(), data(1))); verb != owner.Deliver || reason != "" {
+			t.Errorf("got %v for %q", verb, reason)
+		}
+	})
+
+	t.Run("it does not", func(t *testing.T) {
+		o := restarted()
+		tag := o.FromBalancer(start, envelope(endpoint(11)), data(1))[0].Tag
+		got := o.FromUpstream(start, bounced(data(1), tag))
+		if verb, _ := first(got); verb != owner.Forward || got[0].To != endpoint(11) {
+			t.Errorf("got %+v", got)
+		}
+	})
+
+	// Offers to upstreams that never had the flow broke FLOW at their start.
+	t.Run("a fresh upstream is not asked", func(t *testing.T) {
+		o := ready()
+		if verb, reason := first(o.FromBalancer(start, envelope(), data(1))); verb != owner.Forward || reason != owner.NotHeld {
+			t.Errorf("got %v for %q", verb, reason)
+		}
+	})
+}
+
+func TestWhetherAnAgentCanKnowOfAFlow(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(*owner.Owner)
+		want    bool // unsure
+	}{
+		"its upstream is not heard of yet": {func(*owner.Owner) {}, true},
+		"nothing listens at its address":   {func(o *owner.Owner) { o.Ended() }, false},
+		"its upstream started after it":    {func(o *owner.Owner) { o.Announce(start, announcement(nil)) }, false},
+		"its upstream has said goodbye":    {func(o *owner.Owner) { o.Announce(start, announcement(nil)); o.Depart("i-1") }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+			o.Configure(start, cfg(1, nil))
+			test.prepare(o)
+			got := o.FromBalancer(start, envelope(), data(1))
+			if got[0].Envelope.Unsure != test.want {
+				t.Errorf("unsure is %v, want %v", got[0].Envelope.Unsure, test.want)
+			}
+		})
+	}
+}
+
+func TestAnUnansweredOpeningPacketIsHandedOn(t *testing.T) {
+	o := ready()
+	o.FromBalancer(start, envelope(endpoint(11)), opening(1))
+	due, waiting := o.Due()
+	if !waiting {
+		t.Fatal("nothing is due")
+	}
+	got := o.Tick(due)
+	if verb, reason := first(got); verb != owner.Forward || reason != owner.NoAnswer || o.Requests() != 0 {
+		t.Errorf("got %+v, %d requests", got, o.Requests())
+	}
+}
+
+// Agents whose upstream bounced packets while it started stayed closed for good:
+// they told that they took nothing, so no packet came that could have shown otherwise.
+func TestASilentUpstreamIsTriedAgainAfterItsNextAnnouncement(t *testing.T) {
+	o := ready()
+	for port := uint16(1); port <= 3; port++ {
+		o.FromBalancer(start, envelope(endpoint(11)), opening(port))
+		o.FromUpstream(start, bounced(opening(port), 0))
+	}
+	if o.Accepting() || !o.Doubtful(start) {
+		t.Fatal("three bounced packets raise no doubt")
+	}
+	if verb, reason := first(o.FromBalancer(start, envelope(endpoint(11)), opening(4))); verb != owner.Forward || reason != owner.Silent {
+		t.Errorf("got %v for %q", verb, reason)
+	}
+
+	o.Announce(start, announcement(func(a *flow.Announcement) { a.Sequence = 2 }))
+	if !o.Accepting() {
+		t.Fatal("no trial after an announcement")
+	}
+	open(t, o, start, 5)
+	if o.Doubtful(start) {
+		t.Error("still in doubt after an answer")
+	}
+}
+
+func TestAnUpstreamThatStopsAnnouncingItselfIsNotUsed(t *testing.T) {
+	o := ready()
+	o.Tick(start.Add(5 * time.Second))
+	if o.Accepting() || !o.Doubtful(start.Add(5*time.Second)) {
+		t.Error("an upstream that was silent for 5 s is used")
+	}
+}
+
+func TestTheRampOfAColdUpstreamHoldsInAnySecond(t *testing.T) {
+	const perSecond = 6
+	o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start.Add(-time.Minute))
+	o.Configure(start, cfg(1, func(c *config.Config) { c.Services[0].Limits.ColdPerSecond = perSecond }))
+	o.Announce(start, announcement(func(a *flow.Announcement) { a.Slots, a.WarmUpLeft = 500, 10*time.Second }))
+
+	var admitted []time.Time
+	for i := range 5000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		port := uint16(i + 1)
+		for _, a := range o.FromBalancer(now, envelope(endpoint(11)), opening(port)) {
+			if a.Verb == owner.Deliver {
+				admitted = append(admitted, now)
+				o.FromUpstream(now, accepted(port))
+			}
+		}
+	}
+	for i := range admitted {
+		if i >= perSecond && admitted[i].Sub(admitted[i-perSecond]) <= time.Second {
+			t.Fatalf("%d flows within %v", perSecond+1, admitted[i].Sub(admitted[i-perSecond]))
+		}
+	}
+	if len(admitted) < 4*perSecond {
+		t.Errorf("%d flows in 5 s, want at least %d", len(admitted), 4*perSecond)
+	}
+	if admitted[0].Sub(start) < time.Second {
+		t.Error("what was let through before the agent knew the upstream does not count")
+	}
+}
+
+func TestAColdUpstreamWaitsForAConfiguration(t *testing.T) {
+	o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+	o.Announce(start, announcement(func(a *flow.Announcement) { a.WarmUpLeft = 2 * time.Second }))
+	if verb, reason := first(o.FromBalancer(start, envelope(endpoint(11)), opening(1))); verb != owner.Hold || reason != owner.Queued {
+		t.Fatalf("got %v for %q", verb, reason)
+	}
+	o.Configure(start, cfg(1, nil))
+	if verb, reason := first(o.Tick(start.Add(50 * time.Millisecond))); verb != owner.Deliver || reason != owner.Opened {
+		t.Errorf("got %v for %q", verb, reason)
+	}
+}
--- /dev/null
+++ b/internal/coordination/owner/room_test.go
@@ -0,0 +1,147 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// busy returns an Owner whose upstream has as many requests as it may: 2 slots and one more.
+func busy(t *testing.T) *owner.Owner {
+	t.Helper()
+	o := ready()
+	for port := uint16(1); port <= 3; port++ {
+		open(t, o, start, port)
+	}
+	return o
+}
+
+func TestAFullAgentHandsOnAndTellsHowFullItIs(t *testing.T) {
+	got := busy(t).FromBalancer(start, envelope(endpoint(11)), opening(9))
+	if verb, reason := first(got); verb != owner.Forward || reason != owner.Full {
+		t.Fatalf("got %+v", got)
+	}
+	if e := got[0].Envelope; e.Best != self || e.BestLoad != 150 {
+		t.Errorf("best is %v with %d", e.Best, e.BestLoad)
+	}
+}
+
+func TestTheLastOfFullAgentsSendsAFlowToTheShortestBacklog(t *testing.T) {
+	tests := map[string]struct {
+		best flow.Endpoint
+		load uint16
+		want owner.Verb
+	}{
+		"another has less": {endpoint(11), 120, owner.Forward},
+		"another has more": {endpoint(11), 300, owner.Hold},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := envelope()
+			e.Best, e.BestLoad = test.best, test.load
+			got := busy(t).FromBalancer(start, e, opening(9))
+			if verb, _ := first(got); verb != test.want {
+				t.Fatalf("got %+v", got)
+			}
+			if test.want == owner.Forward && (got[0].To != test.best || !got[0].Envelope.Last) {
+				t.Errorf("got %+v", got[0])
+			}
+		})
+	}
+}
+
+func TestAWaitingFlowOpensWhenARequestEnds(t *testing.T) {
+	o := busy(t)
+	o.FromBalancer(start, envelope(), opening(9))
+	got := o.FromUpstream(start.Add(20*time.Millisecond), answer(1))
+	if len(got) != 2 || got[1].Verb != owner.Deliver || got[1].Key.Caller.Port != 9 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestACopyOfAWaitingOpeningPacketIsNotedOnly(t *testing.T) {
+	o := busy(t)
+	o.FromBalancer(start, envelope(), opening(9))
+	if got := o.FromBalancer(start, envelope(), opening(9)); len(got) != 1 || got[0].Verb != owner.Tell {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestWhatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
+	o := busy(t)
+	var verb owner.Verb
+	var reason owner.Reason
+	for port := uint16(100); verb != owner.Reset; port++ {
+		if port > 300 {
+			t.Fatal("200 flows wait for 2 slots")
+		}
+		verb, reason = first(o.FromBalancer(start, envelope(), opening(port)))
+	}
+	if reason != owner.Overloaded {
+		t.Errorf("refused for %q", reason)
+	}
+}
+
+// A second agent refused a flow that the first one kept waiting, which ended the
+// caller's try, and the first one then opened it in vain.
+func TestAnOpeningPacketThatAnotherAgentMayHaveIsNotRefused(t *testing.T) {
+	o := ready()
+	o.Announce(start, announcement(func(a *flow.Announcement) { a.State, a.Sequence = flow.Draining, 2 }))
+	e := envelope()
+	e.Repeated = true
+	if verb, _ := first(o.FromBalancer(start, e, opening(1))); verb != owner.Drop {
+		t.Errorf("got %v", verb)
+	}
+	if verb, reason := first(o.FromBalancer(start, envelope(), opening(2))); verb != owner.Reset || reason != owner.Leaving {
+		t.Errorf("one that nobody else has: got %v for %q", verb, reason)
+	}
+}
+
+// Callers that had given up held the room of others for a second and more, and the
+// service collapsed after a surge.
+func TestACallerThatGaveUpHoldsRoomForAMoment(t *testing.T) {
+	o := ready()
+	for port := uint16(1); port <= 3; port++ {
+		o.FromBalancer(start, envelope(), opening(port))
+		o.FromUpstream(start, accepted(port))
+	}
+	o.FromBalancer(start, envelope(), opening(9))
+	due, _ := o.Due()
+	for range 5 {
+		if o.Requests() < 3 {
+			break
+		}
+		o.Tick(due)
+		due = due.Add(50 * time.Millisecond)
+	}
+	if due.Sub(start) > 200*time.Millisecond {
+		t.Errorf("room after %v", due.Sub(start))
+	}
+}
+
+func TestAFlowThatWaitedTooLongIsRefused(t *testing.T) {
+	o := busy(t)
+	o.FromBalancer(start, envelope(), opening(9))
+	var reasons []owner.Reason
+	for _, a := range o.Tick(start.Add(2 * time.Second)) {
+		if a.Verb == owner.Reset && a.Key.Caller.Port == 9 {
+			reasons = append(reasons, a.Reason)
+		}
+	}
+	if len(reasons) != 1 || reasons[0] != owner.Expired {
+		t.Errorf("got %v", reasons)
+	}
+}
+
+func TestWaitingFlowsLeaveADrainingUpstream(t *testing.T) {
+	o := busy(t)
+	e := envelope()
+	e.Best, e.BestLoad, e.Last = self, 150, true
+	o.FromBalancer(start, e, opening(9))
+	_, got := o.Announce(start, announcement(func(a *flow.Announcement) { a.State, a.Sequence = flow.Draining, 2 }))
+	if verb, reason := first(got); verb != owner.Reset || reason != owner.Leaving {
+		t.Errorf("got %+v", got)
+	}
+}
