--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -268,10 +268,7 @@
 func (o *Owner) Ended() []Action {
 	o.actions = o.actions[:0]
 	o.absent = true
-	if o.upstream != nil {
-		o.gone = o.upstream
-		o.upstream = nil
-	}
+	o.upstream = nil
 	o.endAll(Gone)
 	return o.actions
 }
--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -438,3 +438,18 @@
 		t.Errorf("got %v for %q", verb, reason)
 	}
 }
+
+func TestAnUpstreamThatListensAgainIsUsedAgain(t *testing.T) {
+	o := ready()
+	open(t, o, start, 1)
+	if verb, reason := first(o.Ended()); verb != owner.Reset || reason != owner.Gone {
+		t.Errorf("got %v for %q", verb, reason)
+	}
+	if !o.Empty() || o.Accepting() {
+		t.Error("flows go to an upstream that is gone")
+	}
+	o.Announce(start, announcement(func(a *flow.Announcement) { a.Sequence = 2 }))
+	if o.Empty() || !o.Accepting() {
+		t.Error("an upstream that announces itself again is not used")
+	}
+}
