Ask all agents before a flow is said to be gone

All agents of the services are asked now, up to 256; beyond that nobody says that a flow is gone. A balancer that starts while others go on is ready once it knows all agents. Found by reading: an answer from an agent taken for dead led to the same question again. Ruled out: late answers (searches are numbered) and empty tables.

--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -110,9 +110,14 @@
 }
 
 func (f *fleet) start(h *host) {
+	f.startAt(h, f.now)
+}
+
+// startAt starts a node whose clock shows another time of day.
+func (f *fleet) startAt(h *host, clock time.Time) {
 	self := roster.Member{
 		Address: h.addr, Role: h.role, Name: h.addr.String(), Domain: h.domain,
-		Incarnation: uint64(f.now.UnixMilli()), Weight: roster.MaxWeight,
+		Incarnation: uint64(clock.UnixMilli()), Weight: roster.MaxWeight,
 	}
 	if h.role == roster.Balancer {
 		self.Admin = netip.AddrPortFrom(h.addr.Addr(), 7101)
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -244,3 +244,66 @@
 	}
 	return hosts
 }
+
+// Incarnations come from the time of day, and a restarted process whose clock was
+// set back was taken for an old record of itself for as long as the step.
+func TestAMemberWhoseClockWasSetBackIsTakenBack(t *testing.T) {
+	tests := map[string]int{"agent": 20, "balancer": 3}
+	for name, index := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := settled(t, 14, 6, 30)
+			h := f.nodes[index]
+			f.startAt(h, f.now.Add(-time.Hour))
+			f.mustAgree(2 * converge)
+		})
+	}
+}
+
+func TestAStartingMemberCallsUntilItIsHeard(t *testing.T) {
+	f := newFleet(t, 15, 3, 3)
+	f.cut = func(_, _ *host) bool { return f.now.Before(time.Unix(1_800_000_000, 0).Add(1500 * time.Millisecond)) }
+	f.run(1500 * time.Millisecond)
+	f.run(700 * time.Millisecond)
+	for _, h := range f.nodes {
+		if h.role == roster.Agent && h.node.Isolated(f.now) {
+			t.Errorf("%s was not heard within 0.7 s of the end of a cut", h.addr)
+		}
+	}
+}
+
+func TestTheFirstBalancerIsOneThatTakesTraffic(t *testing.T) {
+	f := settled(t, 16, 6, 6)
+	firsts := func() []*host {
+		var list []*host
+		for _, h := range f.nodes {
+			if h.role == roster.Balancer && h.node.First() {
+				list = append(list, h)
+			}
+		}
+		return list
+	}
+	before := firsts()
+	if len(before) != 1 {
+		t.Fatalf("%d balancers are the first", len(before))
+	}
+	before[0].node.SetWeight(0)
+	f.run(converge)
+	if after := firsts(); len(after) != 1 || after[0] == before[0] {
+		t.Errorf("got %d, the same one: %v", len(after), len(after) == 1)
+	}
+}
+
+func TestAnEmptyAgentTellsSo(t *testing.T) {
+	f := settled(t, 17, 4, 8)
+	h := f.nodes[6]
+	h.node.SetEmpty(true)
+	f.run(converge)
+	for _, other := range f.nodes {
+		if other.role != roster.Balancer {
+			continue
+		}
+		if m, ok := other.node.Roster().Get(h.addr); !ok || !m.Empty {
+			t.Errorf("%s does not know", other.addr)
+		}
+	}
+}
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -20,9 +20,13 @@
 	// dozen hops between failure domains, and some waiting.
 	searchTimeout = 150 * time.Millisecond
 
-	// maxAsked bounds the agents that are asked about a flow. Flows are opened
-	// within the first ranks, which shift as agents come and go.
-	maxAsked = 24
+	// maxAsked bounds the agents that are asked about a flow, the likeliest first.
+	// A balancer that knew few agents may have placed it at any of them, so with
+	// more agents than this nobody can say that a flow is gone.
+	maxAsked = 256
+
+	// maxAtOnce bounds the agents that are asked side by side.
+	maxAtOnce = 24
 
 	// maxSearches bounds the searches that are remembered; about 1.4 KB each while
 	// their packets are kept.
@@ -106,7 +110,7 @@
 		s.chain(key, packet, route, agents, f)
 		return
 	}
-	s.ask(key, packet, route, agents[:min(len(agents), maxAsked)], f)
+	s.ask(key, packet, route, agents[:min(len(agents), maxAtOnce)], f)
 }
 
 // ask sends a packet to agents side by side.
@@ -137,17 +141,15 @@
 func (s *Steer) answered(now time.Time, e *hop.Envelope, p *flow.Packet, route *config.Route) {
 	key := p.FromCaller()
 	f := s.searches[key]
-	if f == nil || f.id != e.Search || s.flows[key] != nil {
+	if f == nil || f.id != e.Search || f.answered || s.flows[key] != nil {
 		return
 	}
 
 	agents, dead := s.holders(now, route, key.Hash(), flow.Endpoint{})
 	f.unsure = f.unsure || e.Unsure || f.members != s.members
 	f.note(e, agents)
-	if left := min(len(agents), maxAsked); len(f.said) < left {
-		if f.chained && !f.unsure {
-			s.chain(key, p.Raw, route, agents[len(f.said):], f)
-		}
+	if len(f.said) < min(len(agents), maxAsked) {
+		s.askMore(key, p.Raw, route, agents, f)
 		return
 	}
 
@@ -161,10 +163,23 @@
 	s.out = append(s.out, Action{Verb: Reset, Reason: Gone, Key: key, Sequence: p.Acknowledged})
 }
 
+// askMore goes on with the agents that were not asked yet: along them, or side by
+// side once all asked so far have answered.
+func (s *Steer) askMore(key flow.Key, packet []byte, route *config.Route, agents []*agent, f *search) {
+	said := len(f.said)
+	switch {
+	case f.members != s.members:
+	case f.chained:
+		s.chain(key, packet, route, agents[said:], f)
+	case said%maxAtOnce == 0:
+		s.ask(key, packet, route, agents[said:min(len(agents), said+maxAtOnce)], f)
+	}
+}
+
 // doubt returns why a flow that nobody has may exist all the same, or nothing.
 func (s *Steer) doubt(f *search, dead []*agent) Reason {
 	switch {
-	case f.unsure:
+	case f.unsure, len(f.said) >= maxAsked:
 		return NotFoundUnsure
 	case len(dead) > 0:
 		return NotFoundDead
@@ -221,6 +236,20 @@
 	return s.settled
 }
 
+// Ready reports whether packets would be routed right. Where others go on, it
+// takes until all agents are known; when all started anew, somebody has to begin.
+func (s *Steer) Ready() bool {
+	if s.revision == 0 || s.Agents() == 0 {
+		return false
+	}
+	for _, settled := range s.balancers {
+		if settled {
+			return s.settled
+		}
+	}
+	return true
+}
+
 // note records which agents do not have the flow: those that a chain went along
 // in the order of agents, or the one that was asked alone.
 func (f *search) note(e *hop.Envelope, agents []*agent) {
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -382,3 +382,82 @@
 		t.Error("an idle flow is still cached")
 	}
 }
+
+// A balancer that had just started placed a flow among the few agents it knew; the
+// next one looked at the first 24 of 46 ranks and reset it (FLOW on the grown higi-sul).
+func TestAllAgentsAreAskedBeforeAFlowIsGone(t *testing.T) {
+	var lasts []byte
+	for last := byte(10); last < 56; last++ {
+		lasts = append(lasts, last)
+	}
+	for name, broken := range map[string]bool{"one after the other": false, "side by side": true} {
+		t.Run(name, func(t *testing.T) {
+			s := settled(agents("svc", lasts...)...)
+			queue := append([]steer.Action(nil), s.FromCaller(start, data(1))...)
+			now := start
+			if broken {
+				now = start.Add(200 * time.Millisecond)
+				queue = append([]steer.Action(nil), s.FromCaller(now, data(1))...)
+			}
+			asked := map[flow.Endpoint]bool{}
+			for len(queue) > 0 {
+				a := queue[0]
+				queue = queue[1:]
+				if a.Verb == steer.Reset {
+					if len(asked) != len(lasts) {
+						t.Errorf("reset after %d of %d agents", len(asked), len(lasts))
+					}
+					return
+				}
+				e, at := a.Envelope, a.To
+				asked[at] = true
+				for next, ok := e.Next(); ok; next, ok = e.Next() {
+					asked[next], at = true, next
+				}
+				queue = append(queue, s.FromAgent(now, back(e, at), a.Packet, parse)...)
+			}
+			t.Errorf("no reset after %d of %d agents", len(asked), len(lasts))
+		})
+	}
+}
+
+// Each answer of an agent that was taken for dead led to the same question again.
+func TestAnAnsweredSearchAsksNobodyAnew(t *testing.T) {
+	dead := agent(12, "svc")
+	dead.State = roster.Dead
+	s := settled(agent(10, "svc"), dead)
+	a := s.FromCaller(start, data(1))[0]
+	got := append([]steer.Action(nil), s.FromAgent(start, back(a.Envelope, endpoint(10)), a.Packet, parse)...)
+	if diff := cmp.Diff([]steer.Reason{steer.LookupAll, steer.NotFoundDead}, kinds(got)); diff != "" {
+		t.Fatal(diff)
+	}
+	if again := s.FromAgent(start, back(got[0].Envelope, endpoint(12)), a.Packet, parse); len(again) != 0 {
+		t.Errorf("got %v", kinds(again))
+	}
+}
+
+func TestReadiness(t *testing.T) {
+	tests := map[string]struct {
+		others []roster.Member
+		age    time.Duration
+		want   bool
+	}{
+		"all started anew":               {[]roster.Member{balancer(2, 0)}, 0, true},
+		"others go on":                   {[]roster.Member{balancer(2, 100)}, 0, false},
+		"others go on, all agents known": {[]roster.Member{balancer(2, 100)}, 11 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := steer.New(self, "a", start)
+			if s.Ready() {
+				t.Error("ready without a configuration")
+			}
+			s.Configure(cfg(1, "svc"))
+			s.Members(start, cfg(1, "svc"), append(agents("svc", 10), test.others...))
+			s.Tick(start.Add(test.age))
+			if got := s.Ready(); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/state/backlog/backlog_test.go
+++ b/internal/state/backlog/backlog_test.go
@@ -71,9 +71,9 @@
 		arrivals  = 600
 	)
 	var b backlog.Backlog
-	inTime, now := 0, start
+	inTime := 0
 	for i := range arrivals {
-		now = start.Add(time.Duration(i) * service / 2)
+		now := start.Add(time.Duration(i) * service / 2)
 		b.Add(backlog.Waiting{
 			Key: flow.Key{Caller: flow.Endpoint{Port: uint16(i)}}, Hurry: now.Add(objective), Until: now.Add(time.Second),
 		})
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -100,12 +100,11 @@
 	}
 }
 
-// Ready reports whether packets would be routed right: a configuration and
-// agents are known.
+// Ready reports whether packets would be routed right.
 func (n *Inlet) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.revision > 0 && n.core.Agents() > 0
+	return n.core.Ready()
 }
 
 func (n *Inlet) readCallers() error {
