--- /dev/null
+++ b/internal/transport/link/source_test.go
@@ -0,0 +1,220 @@
+package link_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/pkg/errors"
+
+	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/standin/ports"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+)
+
+// memory is a store in memory.
+type memory struct {
+	mu       sync.Mutex
+	entries  map[string]coriandershift.Entry
+	revision int64
+	swapped  chan string
+}
+
+func newMemory() *memory {
+	return &memory{entries: map[string]coriandershift.Entry{}, swapped: make(chan string, 100)}
+}
+
+func (m *memory) Get(_ context.Context, key string) (coriandershift.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.entries[key]
+	if !ok {
+		return e, coriandershift.ErrNotFound
+	}
+	return e, nil
+}
+
+func (m *memory) List(context.Context, string) ([]coriandershift.Entry, error) { return nil, nil }
+
+func (m *memory) Swap(_ context.Context, key string, value []byte, revision int64, _ coriandershift.Lease) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entries[key].Revision != revision {
+		return coriandershift.ErrConflict
+	}
+	m.revision++
+	m.entries[key] = coriandershift.Entry{Key: key, Value: value, Revision: m.revision}
+	m.swapped <- key
+	return nil
+}
+
+func (m *memory) Watch(ctx context.Context, _ string, _ int64) (coriandershift.Entry, error) {
+	<-ctx.Done()
+	return coriandershift.Entry{}, ctx.Err()
+}
+
+func (m *memory) Grant(context.Context, time.Duration) (coriandershift.Lease, error) { return 1, nil }
+func (m *memory) Renew(context.Context, coriandershift.Lease) error                  { return nil }
+
+// script is Operators that do one step after the other; the last one stays.
+type script struct {
+	mu    sync.Mutex
+	loads []func(context.Context) (*config.Config, error)
+	waits []func(context.Context) (bool, uint64, error)
+}
+
+func take[T any](mu *sync.Mutex, steps *[]T) T {
+	mu.Lock()
+	defer mu.Unlock()
+	step := (*steps)[0]
+	if len(*steps) > 1 {
+		*steps = (*steps)[1:]
+	}
+	return step
+}
+
+func (s *script) Load(ctx context.Context) (*config.Config, error) {
+	return take(&s.mu, &s.loads)(ctx)
+}
+
+func (s *script) Wait(ctx context.Context, _ uint64) (bool, uint64, error) {
+	return take(&s.mu, &s.waits)(ctx)
+}
+
+func loaded(revision uint64) func(context.Context) (*config.Config, error) {
+	return func(context.Context) (*config.Config, error) { return &config.Config{Revision: revision}, nil }
+}
+
+func silentLoad(ctx context.Context) (*config.Config, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func failedLoad(context.Context) (*config.Config, error) { return nil, errors.New("store is busy") }
+
+func changedAtOnce(context.Context) (bool, uint64, error) { return true, 0, nil }
+
+func cutWatch(context.Context) (bool, uint64, error) { return false, 0, errors.New("cut") }
+
+func waitForever(ctx context.Context) (bool, uint64, error) {
+	<-ctx.Done()
+	return false, 0, ctx.Err()
+}
+
+func newLink(t *testing.T, role roster.Role, store coriandershift.Store) *link.Link {
+	t.Helper()
+	address, err := ports.UDP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := link.Listen(link.Options{
+		Self:    roster.Member{Address: address, Role: role, Domain: "a", Service: "svc", Admin: address, Incarnation: 1},
+		Keys:    keyset.Set{Cluster: make([]byte, keyset.KeyLength)},
+		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Metrics: metric.New(),
+		Store:   store,
+		Fetcher: link.NewPlain(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Conn().Close() })
+	return l
+}
+
+// reaches waits until a revision is in force.
+func reaches(t *testing.T, l *link.Link, revision uint64) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); l.Config().Revision != revision; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("revision %d is in force, want %d", l.Config().Revision, revision)
+		}
+	}
+}
+
+func TestFollowingTheOperators(t *testing.T) {
+	tests := map[string]*script{
+		"a change":           {loads: []func(context.Context) (*config.Config, error){loaded(1), loaded(1), loaded(5)}, waits: []func(context.Context) (bool, uint64, error){changedAtOnce, waitForever}},
+		"a cut watch":        {loads: []func(context.Context) (*config.Config, error){loaded(1), loaded(1), loaded(5)}, waits: []func(context.Context) (bool, uint64, error){cutWatch, waitForever}},
+		"a silent store":     {loads: []func(context.Context) (*config.Config, error){silentLoad, silentLoad, loaded(5)}, waits: []func(context.Context) (bool, uint64, error){waitForever}},
+		"a busy store":       {loads: []func(context.Context) (*config.Config, error){failedLoad, failedLoad, loaded(5)}, waits: []func(context.Context) (bool, uint64, error){waitForever}},
+		"an old answer last": {loads: []func(context.Context) (*config.Config, error){loaded(5), loaded(3)}, waits: []func(context.Context) (bool, uint64, error){changedAtOnce, changedAtOnce, waitForever}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			l := newLink(t, roster.Balancer, newMemory())
+			go l.FollowOperators(ctx, steps)
+			reaches(t, l, 5)
+		})
+	}
+}
+
+func TestAPeerHandsOutItsConfiguration(t *testing.T) {
+	l := newLink(t, roster.Balancer, newMemory())
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+link.ConfigPath, l.ServeConfig)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	at := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+
+	fetcher := link.NewPlain()
+	if _, err := fetcher.Newer(context.Background(), at, nil); !errors.Is(err, link.ErrNoConfig) {
+		t.Errorf("got %v", err)
+	}
+
+	want := &config.Config{
+		Revision: 7, IdleTimeout: 15000,
+		Domains:  []config.Domain{{Name: "a", Number: 1, Out: true}},
+		Services: []config.Service{{Name: "svc", Number: 1, Limits: config.Limits{ColdPerSecond: 2.5}}},
+		Routes: []config.Route{{
+			Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Kind: config.Download,
+			Shares: []config.Share{{Service: "svc", Weight: 90}},
+		}},
+	}
+	l.Adopt(want, "test")
+	got, err := fetcher.Newer(context.Background(), at, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got, cmpopts.EquateEmpty(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestCensus(t *testing.T) {
+	store := newMemory()
+	store.entries["coriandershift/census"] = coriandershift.Entry{Value: []byte("old and unreadable"), Revision: 40}
+	l := newLink(t, roster.Balancer, store)
+	if _, err := l.Census(context.Background()); err == nil {
+		t.Error("an unreadable census is read")
+	}
+
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	l.SetWeight(roster.MaxWeight)
+	go l.Run(ctx)
+	go l.KeepCensus(ctx)
+	<-store.swapped
+	members, err := l.Census(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]netip.AddrPort{l.Self().Address}, members, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+		t.Error(diff)
+	}
+}
