--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -7,23 +7,23 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
-// ackWindow is how far a caller may have acknowledged beyond the start of the
-// upstream's stream: more than any flow carries, far less than a stray sequence.
-const ackWindow = 1 << 28
-
 // entry is one flow at the upstream.
 type entry struct {
 	openedAt time.Time
 	lastAt   time.Time
 
 	// sequence is that of the caller's opening packet; upstreamStart that of
-	// the upstream's answer, if answered.
+	// the upstream's answer, if answered, and upstreamSent how far its stream
+	// went since, the opening and the end included.
 	sequence      uint32
 	upstreamStart uint32
+	upstreamSent  uint32
 	answered      bool
 
-	// open says that the caller completed the handshake here.
-	open bool
+	// open says that the caller completed the handshake here; learned that the
+	// flow was open before the agent started.
+	open    bool
+	learned bool
 
 	// callerAck is what the caller acknowledged last; callerNext the end of the
 	// data it has sent, if it has sent any.
@@ -52,7 +52,10 @@
 // Two upstreams may have answered copies of one opening packet; the flow is open
 // at the one that the caller acknowledges.
 func (e *entry) belongs(p *flow.Packet) bool {
-	return !e.answered || !p.Ack || p.Acknowledged-e.upstreamStart < ackWindow
+	if !e.answered {
+		return e.learned
+	}
+	return !p.Ack || p.Acknowledged-e.upstreamStart <= e.upstreamSent
 }
 
 // begin counts the flow as a request at the upstream.
@@ -114,12 +117,14 @@
 	if p.Open && p.Ack {
 		e.upstreamStart = p.Sequence
 		e.answered = true
+		e.upstreamSent = max(e.upstreamSent, 1)
 		e.packet = nil
 		o.unheard = 0
 	}
 	if p.Length > 0 {
 		o.complete(now, key, e)
 	}
+	e.noteSent(p)
 	if p.Finish {
 		e.serverFin = true
 	}
@@ -131,6 +136,18 @@
 	}
 }
 
+// noteSent follows how far the upstream's stream has come.
+func (e *entry) noteSent(p *flow.Packet) {
+	if !e.answered {
+		return
+	}
+	sent := p.Sequence - e.upstreamStart + uint32(p.Length)
+	if p.Finish {
+		sent++
+	}
+	e.upstreamSent = max(e.upstreamSent, sent)
+}
+
 // complete takes the first bytes of an answer for the end of the work on it.
 func (o *Owner) complete(now time.Time, key flow.Key, e *entry) {
 	o.rest(e)
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -273,11 +273,13 @@
 	return o.actions
 }
 
+// endAll ends all flows with their upstream. Those that are not open here may be
+// open at another one.
 func (o *Owner) endAll(reason Reason) {
 	for key, e := range o.flows {
-		closed := e.closed()
+		open := e.open && !e.closed()
 		o.end(key, e)
-		if !closed {
+		if open {
 			o.resetCaller(key, e.callerAck, reason)
 		}
 	}
--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -453,3 +453,23 @@
 		t.Error("an upstream that announces itself again is not used")
 	}
 }
+
+// Found by the model (seed 1): a copy of an opening packet had reached a second
+// upstream, and when that one ended its agent reset the flow that was open at the first.
+func TestTheEndOfAnUpstreamSparesFlowsThatAreOpenElsewhere(t *testing.T) {
+	o := ready()
+	o.FromBalancer(start, envelope(), opening(1))
+	o.FromUpstream(start, accepted(1))
+	if got := o.Ended(); len(got) != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Found by the model (seed 1): the same at the moment before the second upstream answered.
+func TestAnUnansweredOpeningPacketMakesNoFlow(t *testing.T) {
+	o := ready()
+	o.FromBalancer(start, envelope(), opening(1))
+	if verb, reason := first(o.FromBalancer(start, envelope(endpoint(11)), data(1))); verb != owner.Forward || reason != owner.NotHeld {
+		t.Errorf("got %v for %q", verb, reason)
+	}
+}
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -199,7 +199,7 @@
 	known := o.flows[key]
 	if known == nil {
 		if len(o.flows) < maxFlows {
-			known = &entry{openedAt: now, lastAt: now, open: true}
+			known = &entry{openedAt: now, lastAt: now, open: true, learned: true}
 			o.flows[key] = known
 		}
 	}
