Apply changes from the watch instead of reading all again

The adapter now carries the events over into the configuration before them, and a pause of 150 ms after a change reads a storm in few calls.

--- a/internal/coordination/model/model_test.go
+++ b/internal/coordination/model/model_test.go
@@ -286,7 +286,6 @@
 // change spreads a new configuration, unevenly.
 func (w *world) change(edit func(*config.Config)) {
 	next := w.cfg.Clone()
-	next.Routes, next.IdleTimeout = w.cfg.Routes, w.cfg.IdleTimeout
 	edit(next)
 	next.Revision++
 	w.cfg = next
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -128,15 +128,18 @@
 	return c.Services[i], true
 }
 
-// Clone returns a copy whose domains, services and drained upstreams can be
-// replaced, added and removed. What lies within a service must not be changed
-// in place, since both share it.
+// Clone returns a copy whose domains, services, drained upstreams and routes can
+// be replaced, added and removed. What lies within a service or route must not be
+// changed in place, since both share it.
 func (c *Config) Clone() *Config {
 	return &Config{
 		Revision: c.Revision,
 		Domains:  slices.Clone(c.Domains),
 		Services: slices.Clone(c.Services),
 		Drained:  slices.Clone(c.Drained),
+
+		Routes:      slices.Clone(c.Routes),
+		IdleTimeout: c.IdleTimeout,
 	}
 }
 
--- a/internal/transport/link/source.go
+++ b/internal/transport/link/source.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/coriandershift/coriandershift"
 )
 
@@ -13,6 +15,10 @@
 	// within seconds of its return.
 	sourcePause = 500 * time.Millisecond
 
+	// stormPause is the time between a change and the next wait: changes in
+	// quick succession are then read in one call.
+	stormPause = 150 * time.Millisecond
+
 	// firstPause and firstTimeout are those of a process that has no configuration
 	// at all and can serve nobody. The timeout doubles up to the store's own.
 	firstPause   = 100 * time.Millisecond
@@ -62,7 +68,8 @@
 	}
 }
 
-// followOnce reads the configuration and waits for one change.
+// followOnce reads the configuration and follows its changes until the store
+// has lost them or is lost itself.
 func (l *Link) followOnce(ctx context.Context, operators coriandershift.Operators) error {
 	cfg, err := operators.Load(ctx)
 	if err != nil {
@@ -73,11 +80,17 @@
 
 	after := cfg.Revision
 	for ctx.Err() == nil {
-		changed, next, err := operators.Wait(ctx, after)
-		if err != nil || changed {
+		next, revision, err := operators.Next(ctx, cfg, after)
+		if errors.Is(err, coriandershift.ErrCompacted) {
+			return nil
+		}
+		if err != nil {
 			return err
 		}
-		after = next
+		if l.Adopt(next, "store") {
+			sleep(ctx, stormPause)
+		}
+		cfg, after = next, revision
 	}
 	return nil
 }
--- a/internal/transport/link/source_test.go
+++ b/internal/transport/link/source_test.go
@@ -73,7 +73,7 @@
 type script struct {
 	mu    sync.Mutex
 	loads []func(context.Context) (*config.Config, error)
-	waits []func(context.Context) (bool, uint64, error)
+	waits []func(context.Context) (*config.Config, error)
 }
 
 func take[T any](mu *sync.Mutex, steps *[]T) T {
@@ -90,8 +90,12 @@
 	return take(&s.mu, &s.loads)(ctx)
 }
 
-func (s *script) Wait(ctx context.Context, _ uint64) (bool, uint64, error) {
-	return take(&s.mu, &s.waits)(ctx)
+func (s *script) Next(ctx context.Context, cfg *config.Config, after uint64) (*config.Config, uint64, error) {
+	next, err := take(&s.mu, &s.waits)(ctx)
+	if next == nil {
+		next = cfg
+	}
+	return next, after, err
 }
 
 func loaded(revision uint64) func(context.Context) (*config.Config, error) {
@@ -105,13 +109,15 @@
 
 func failedLoad(context.Context) (*config.Config, error) { return nil, errors.New("store is busy") }
 
-func changedAtOnce(context.Context) (bool, uint64, error) { return true, 0, nil }
+func cutWatch(context.Context) (*config.Config, error) { return nil, errors.New("cut") }
+
+func compacted(context.Context) (*config.Config, error) { return nil, coriandershift.ErrCompacted }
 
-func cutWatch(context.Context) (bool, uint64, error) { return false, 0, errors.New("cut") }
+func unchanged(context.Context) (*config.Config, error) { return nil, nil }
 
-func waitForever(ctx context.Context) (bool, uint64, error) {
+func waitForever(ctx context.Context) (*config.Config, error) {
 	<-ctx.Done()
-	return false, 0, ctx.Err()
+	return nil, ctx.Err()
 }
 
 func newLink(t *testing.T, role roster.Role, store coriandershift.Store) *link.Link {
@@ -146,12 +152,14 @@
 }
 
 func TestFollowingTheOperators(t *testing.T) {
+	type steps = []func(context.Context) (*config.Config, error)
 	tests := map[string]*script{
-		"a change":           {loads: []func(context.Context) (*config.Config, error){loaded(1), loaded(1), loaded(5)}, waits: []func(context.Context) (bool, uint64, error){changedAtOnce, waitForever}},
-		"a cut watch":        {loads: []func(context.Context) (*config.Config, error){loaded(1), loaded(1), loaded(5)}, waits: []func(context.Context) (bool, uint64, error){cutWatch, waitForever}},
-		"a silent store":     {loads: []func(context.Context) (*config.Config, error){silentLoad, silentLoad, loaded(5)}, waits: []func(context.Context) (bool, uint64, error){waitForever}},
-		"a busy store":       {loads: []func(context.Context) (*config.Config, error){failedLoad, failedLoad, loaded(5)}, waits: []func(context.Context) (bool, uint64, error){waitForever}},
-		"an old answer last": {loads: []func(context.Context) (*config.Config, error){loaded(5), loaded(3)}, waits: []func(context.Context) (bool, uint64, error){changedAtOnce, changedAtOnce, waitForever}},
+		"a change":           {loads: steps{loaded(1)}, waits: steps{unchanged, loaded(5), waitForever}},
+		"a cut watch":        {loads: steps{loaded(1), loaded(1), loaded(5)}, waits: steps{cutWatch, waitForever}},
+		"a lost history":     {loads: steps{loaded(1), loaded(1), loaded(5)}, waits: steps{compacted, waitForever}},
+		"a silent store":     {loads: steps{silentLoad, silentLoad, loaded(5)}, waits: steps{waitForever}},
+		"a busy store":       {loads: steps{failedLoad, failedLoad, loaded(5)}, waits: steps{waitForever}},
+		"an old answer last": {loads: steps{loaded(5), loaded(3)}, waits: steps{compacted, loaded(3), waitForever}},
 	}
 	for name, steps := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/packets.go
+++ b/packets.go
@@ -25,9 +25,11 @@
 	// Load returns the configuration in force. Its revision grows with every change.
 	Load(ctx context.Context) (*config.Config, error)
 
-	// Wait returns once the configuration may have changed after a revision, or
-	// unchanged after a while, with the revision from which to wait on.
-	Wait(ctx context.Context, revision uint64) (changed bool, next uint64, err error)
+	// Next waits for changes after a revision and returns the configuration that
+	// they make of cfg; cfg itself after a while without any. It also returns the
+	// revision from which to go on. It returns ErrCompacted if the changes are
+	// not known any more.
+	Next(ctx context.Context, cfg *config.Config, after uint64) (next *config.Config, revision uint64, err error)
 }
 
 // Upstreams takes what the upstream beside an agent says of itself.
--- a/store.go
+++ b/store.go
@@ -21,6 +21,9 @@
 	// ErrUnknownOutcome reports a write that may or may not have taken effect.
 	ErrUnknownOutcome = errors.New("outcome of the write is unknown")
 
+	// ErrCompacted reports a wait for changes that the store has dropped already.
+	ErrCompacted = errors.New("store has dropped this history")
+
 	// ErrLeaseLost reports a lease that has lapsed.
 	ErrLeaseLost = errors.New("lease has lapsed")
 )
