--- a/cmd/coriandershift-forward/cmd_agent.go
+++ b/cmd/coriandershift-forward/cmd_agent.go
@@ -59,7 +59,7 @@
 	go func() { failed <- d.serve(settings.Announcements, announcements) }()
 	go func() { failed <- agent.Run(ctx) }()
 	d.start(ctx, failed)
-	go d.link.FollowSeeds(ctx)
+	go d.link.FollowCensus(ctx)
 	d.log.Info("agent started", "address", d.settings.Address, "service", settings.Service)
 
 	select {
--- a/cmd/coriandershift-forward/cmd_balancer.go
+++ b/cmd/coriandershift-forward/cmd_balancer.go
@@ -59,8 +59,7 @@
 	go func() { failed <- balancer.Run(ctx) }()
 	d.start(ctx, failed)
 	go d.link.FollowOperators(ctx, platform.NewOperators(d.store))
-	go d.link.FollowSeeds(ctx)
-	go d.link.AnnounceSeed(ctx)
+	go d.link.FollowCensus(ctx)
 	go d.link.KeepCensus(ctx)
 	d.log.Info("balancer started", "address", d.settings.Address)
 
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -185,8 +185,8 @@
 		n.log.Info("no census", "error", err)
 		return
 	}
-	expected := make([]flow.Endpoint, 0, len(members))
-	for _, a := range members {
+	expected := make([]flow.Endpoint, 0, len(members.Balancers)+len(members.Agents))
+	for _, a := range append(members.Balancers, members.Agents...) {
 		expected = append(expected, flow.EndpointOf(a))
 	}
 	n.mu.Lock()
--- a/internal/transport/link/census.go
+++ b/internal/transport/link/census.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,21 +16,39 @@
 
 const (
 	// censusKey holds the addresses of all members. A balancer that starts reads
-	// it to know whom it has not heard of yet.
+	// it to know whom it has not heard of yet, and a process that hears nobody to
+	// know whom to call.
 	censusKey = "coriandershift/census"
 
 	// censusEvery is the time between two looks at whether it must be written.
 	censusEvery = 2 * time.Second
+
+	// isolatedFor is how long a process calls the balancers that its settings name
+	// before it asks the store for others.
+	isolatedFor = 2 * time.Second
+
+	// censusSeeds is how many balancers of the census are called at once.
+	censusSeeds = 6
 )
 
+// Census is the addresses of all members, each list sorted.
+type Census struct {
+	Balancers []netip.AddrPort `cbor:"1,keyasint"`
+	Agents    []netip.AddrPort `cbor:"2,keyasint"`
+}
+
+func (c *Census) equal(other *Census) bool {
+	return slices.Equal(c.Balancers, other.Balancers) && slices.Equal(c.Agents, other.Agents)
+}
+
 // KeepCensus keeps the list of members in the store up to date. Only the first
 // balancer that knows all agents writes, and only when members came or went.
 func (l *Link) KeepCensus(ctx context.Context) {
-	var written []netip.AddrPort
+	var written Census
 	var revision int64
 	for ; ctx.Err() == nil; sleep(ctx, censusEvery) {
 		members, first := l.census()
-		if !first || slices.Equal(members, written) {
+		if !first || members.equal(&written) {
 			continue
 		}
 
@@ -40,7 +59,7 @@
 		}
 		if err := l.store.Swap(ctx, censusKey, value, revision, 0); err == nil {
 			written = members
-			l.log.Info("census written", "members", len(members))
+			l.log.Info("census written", "balancers", len(members.Balancers), "agents", len(members.Agents))
 		} else if !errors.Is(err, coriandershift.ErrConflict) {
 			l.log.Warn("census not written", "error", err)
 			continue
@@ -61,25 +80,57 @@
 
 // Census returns the members that were known before. It returns ErrNotFound if
 // no balancer has written them yet.
-func (l *Link) Census(ctx context.Context) ([]netip.AddrPort, error) {
+func (l *Link) Census(ctx context.Context) (Census, error) {
 	entry, err := l.store.Get(ctx, censusKey)
 	if err != nil {
-		return nil, err
+		return Census{}, err
 	}
-	var members []netip.AddrPort
+	var members Census
 	return members, errors.Wrap(cbor.Unmarshal(entry.Value, &members), "decode census")
 }
 
-// census returns the addresses of the living members, sorted, and whether this
-// balancer is the first on the ring.
-func (l *Link) census() ([]netip.AddrPort, bool) {
+// FollowCensus looks for balancers in the store while this process hears none.
+// The settings may name only some that are gone.
+func (l *Link) FollowCensus(ctx context.Context) {
+	var pause backoff
+	for sleep(ctx, isolatedFor); ctx.Err() == nil; {
+		if !l.isolated() {
+			pause.reset()
+			sleep(ctx, seedRead)
+			continue
+		}
+		members, err := l.Census(ctx)
+		if err != nil {
+			l.log.Warn("hears no balancer, and no census", "error", err)
+		} else {
+			l.log.Warn("hears no balancer, takes some from the census", "known", len(members.Balancers))
+			l.SetSeeds(some(members.Balancers))
+		}
+		sleep(ctx, pause.next())
+	}
+}
+
+// some returns a few balancers at random, so that those that many look for are
+// not called by all.
+func some(balancers []netip.AddrPort) []netip.AddrPort {
+	rand.Shuffle(len(balancers), func(i, j int) { balancers[i], balancers[j] = balancers[j], balancers[i] })
+	return balancers[:min(len(balancers), censusSeeds)]
+}
+
+// census returns the addresses of the living members, and whether this balancer
+// is the one to write them.
+func (l *Link) census() (Census, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	var members []netip.AddrPort
+	var members Census
 	for _, m := range l.node.Roster().Members() {
-		if m.State != roster.Dead {
-			members = append(members, m.Address)
+		switch {
+		case m.State == roster.Dead:
+		case m.Role == roster.Balancer:
+			members.Balancers = append(members.Balancers, m.Address)
+		default:
+			members.Agents = append(members.Agents, m.Address)
 		}
 	}
 	return members, l.node.First()
--- a/internal/transport/link/source.go
+++ b/internal/transport/link/source.go
@@ -7,20 +7,23 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/state/config"
 )
 
 const (
 	// sourcePause is the time between two attempts to read the operators'
-	// configuration while the store does not answer. Changes must be in force
-	// within seconds of its return.
-	sourcePause = 500 * time.Millisecond
+	// configuration while the store does not answer; it grows to sourcePauseMax.
+	// Changes must be in force within seconds of its return.
+	sourcePause    = 500 * time.Millisecond
+	sourcePauseMax = time.Second
 
 	// stormPause is the time between a change and the next wait: changes in
 	// quick succession are then read in one call.
 	stormPause = 150 * time.Millisecond
 
 	// firstPause and firstTimeout are those of a process that has no configuration
-	// at all and can serve nobody. The timeout doubles up to the store's own.
+	// at all and can serve nobody. Both double, the pause up to sourcePause and
+	// the timeout up to the store's own.
 	firstPause   = 100 * time.Millisecond
 	firstTimeout = 250 * time.Millisecond
 
@@ -33,27 +36,34 @@
 // each failure domain, the first on the ring, wait at the store; the others hear
 // of changes from them, and read once for themselves when they start.
 func (l *Link) FollowOperators(ctx context.Context, operators coriandershift.Operators) {
-	l.readFirstOf(ctx, operators)
+	cfg := l.readFirstOf(ctx, operators)
+	pause := sourcePause
 	for ctx.Err() == nil {
 		if l.rank() >= watchersPerDomain && l.Config().Revision > 0 && !l.isolated() {
 			sleep(ctx, sourceIdle)
 			continue
 		}
 
-		err := l.followOnce(ctx, operators)
+		err := l.followOnce(ctx, operators, cfg)
 		if ctx.Err() != nil {
 			return
 		}
+		cfg = nil
+		if err == nil || !l.storeLost {
+			pause = sourcePause
+		}
 		if err != nil {
 			l.noteStore(err)
-			sleep(ctx, sourcePause)
+			sleep(ctx, pause)
+			pause = min(2*pause, sourcePauseMax)
 		}
 	}
 }
 
-// readFirstOf reads until there is a configuration, from the store or from a peer.
-func (l *Link) readFirstOf(ctx context.Context, operators coriandershift.Operators) {
-	timeout := firstTimeout
+// readFirstOf reads until there is a configuration. It returns that of the store,
+// or nil if a peer was faster.
+func (l *Link) readFirstOf(ctx context.Context, operators coriandershift.Operators) *config.Config {
+	timeout, pause := firstTimeout, firstPause
 	for ctx.Err() == nil && l.Config().Revision == 0 {
 		call, cancel := context.WithTimeout(ctx, timeout)
 		cfg, err := operators.Load(call)
@@ -61,19 +71,23 @@
 		l.noteStore(err)
 		if err == nil {
 			l.Adopt(cfg, "store")
-			return
+			return cfg
 		}
+		sleep(ctx, pause)
 		timeout *= 2
-		sleep(ctx, firstPause)
+		pause = min(2*pause, sourcePause)
 	}
+	return nil
 }
 
-// followOnce reads the configuration and follows its changes until the store
-// has lost them or is lost itself.
-func (l *Link) followOnce(ctx context.Context, operators coriandershift.Operators) error {
-	cfg, err := operators.Load(ctx)
-	if err != nil {
-		return err
+// followOnce reads the configuration, unless it was read just now, and follows its
+// changes until the store has lost them or is lost itself.
+func (l *Link) followOnce(ctx context.Context, operators coriandershift.Operators, cfg *config.Config) error {
+	if cfg == nil {
+		var err error
+		if cfg, err = operators.Load(ctx); err != nil {
+			return err
+		}
 	}
 	l.noteStore(nil)
 	l.Adopt(cfg, "store")
