--- a/internal/coordination/owner/offer.go
+++ b/internal/coordination/owner/offer.go
@@ -23,6 +23,7 @@
 // tag that comes back if it bounces them.
 type offers struct {
 	byTag map[uint32]offer
+	byKey map[flow.Key]uint32 // the last tag of each flow
 	last  uint32
 }
 
@@ -38,6 +39,7 @@
 	}
 	f.last = max(1, f.last+1)
 	f.byTag[f.last] = offer{at: now, key: key, envelope: *e}
+	f.byKey[key] = f.last
 	return f.last, true
 }
 
@@ -46,14 +48,30 @@
 	if !ok || o.key != key {
 		return hop.Envelope{}, false
 	}
-	delete(f.byTag, tag)
+	f.drop(tag, key)
 	return o.envelope, true
 }
 
+// taken returns the envelope of a flow that turned out to be the upstream's.
+func (f *offers) taken(key flow.Key) (hop.Envelope, bool) {
+	tag, ok := f.byKey[key]
+	if !ok {
+		return hop.Envelope{}, false
+	}
+	return f.take(tag, key)
+}
+
+func (f *offers) drop(tag uint32, key flow.Key) {
+	delete(f.byTag, tag)
+	if f.byKey[key] == tag {
+		delete(f.byKey, key)
+	}
+}
+
 func (f *offers) sweep(now time.Time) {
 	for tag, o := range f.byTag {
 		if now.Sub(o.at) > offerTTL {
-			delete(f.byTag, tag)
+			f.drop(tag, o.key)
 		}
 	}
 }
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -174,7 +174,7 @@
 		routes:   map[flow.Endpoint]*config.Route{},
 		flows:    map[flow.Key]*entry{},
 		opening:  map[flow.Key]*entry{},
-		offers:   offers{byTag: map[uint32]offer{}},
+		offers:   offers{byTag: map[uint32]offer{}, byKey: map[flow.Key]uint32{}},
 	}
 }
 
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -166,6 +166,34 @@
 	o.passOn(key, e, p.Raw, NotHeld)
 }
 
+// FromQuery answers which flows of a Query are held here. The actions are valid
+// until the next call.
+func (o *Owner) FromQuery(e *hop.Envelope, questions []hop.Question) []Action {
+	o.actions = o.actions[:0]
+	words := make([]byte, len(questions))
+	for i, q := range questions {
+		words[i] = byte(o.holding(&q))
+	}
+	o.actions = append(o.actions, Action{
+		Verb:     Tell,
+		To:       e.Balancer,
+		Packet:   words,
+		Envelope: hop.Envelope{Kind: hop.Reply, Search: e.Search, Balancer: e.Balancer, Agent: o.settings.Self, Revision: o.cfg.Revision},
+	})
+	return o.actions
+}
+
+func (o *Owner) holding(q *hop.Question) hop.Holding {
+	known := o.flows[q.Key]
+	switch {
+	case known != nil && known.belongs(&flow.Packet{Ack: true, Acknowledged: q.Acknowledged}):
+		return hop.Held
+	case known == nil && !o.certain():
+		return hop.Unsure
+	}
+	return hop.NotHeld
+}
+
 // certain reports whether a flow that is not in the table is surely not at the upstream.
 func (o *Owner) certain() bool {
 	return o.Empty() || (o.upstream != nil && !o.mayOffer)
@@ -202,6 +230,9 @@
 			known = &entry{openedAt: now, lastAt: now, open: true, learned: true}
 			o.flows[key] = known
 		}
+		if e, ok := o.offers.taken(key); ok && e.WantNote {
+			o.tell(key, &e, false)
+		}
 	}
 	if known != nil {
 		o.noteUpstream(now, key, known, p)
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -4,317 +4,319 @@
 	"slices"
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/coordination/rank"
 	"github.com/coriandershift/coriandershift/internal/protocol/hop"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
-	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
 const (
+	// chainLength is how many agents a packet of an unknown flow goes along. Nearly
+	// all flows are at one of their first ranks.
+	chainLength = 6
+
+	// chainTimeout is how long that may take: a few hops between failure domains,
+	// and some waiting.
+	chainTimeout = 100 * time.Millisecond
+
+	// queryEvery is the time between two rounds of questions. Flows that are lost
+	// together are asked for together.
+	queryEvery = 50 * time.Millisecond
+
+	// queryTimeout is how long agents have to answer.
+	queryTimeout = 400 * time.Millisecond
+
 	// searchTTL is how long it is remembered that a flow was looked for. Callers
 	// repeat a packet after 1.6 s at the latest.
 	searchTTL = 4 * time.Second
 
-	// searchTimeout is how long a search may take before it is begun anew: a
-	// dozen hops between failure domains, and some waiting.
-	searchTimeout = 150 * time.Millisecond
-
 	// maxAsked bounds the agents that are asked about a flow, the likeliest first.
 	// A balancer that knew few agents may have placed it at any of them, so with
 	// more agents than this nobody can say that a flow is gone.
 	maxAsked = 256
 
-	// maxAtOnce bounds the agents that are asked side by side.
-	maxAtOnce = 24
-
-	// maxSearches bounds the searches that are remembered; about 1.4 KB each while
-	// their packets are kept.
+	// maxSearches bounds the searches that are remembered, with up to 1.2 KB each.
 	maxSearches = 2048
+)
 
-	// settleEvery is how often a starting balancer looks whether it knows all agents.
-	settleEvery = 100 * time.Millisecond
-
-	// settleTime is how long after its start a balancer learns what the others
-	// know: a digest goes out every two seconds.
-	settleTime = 3 * time.Second
-
-	// settleLatest is when a balancer goes by the agents that it knows, even if
-	// some that were known before are missing.
-	settleLatest = 10 * time.Second
+// state is how far a search has come.
+type state uint8
 
-	// deadDoubt is how long an agent that is taken for dead may still come back
-	// beside an upstream with open flows.
-	deadDoubt = 5 * time.Second
+const (
+	chained  state = iota // the packet goes along the first ranks
+	waiting               // for the next round of questions
+	asked                 // the agents have been asked
+	offered               // the agents that cannot know got the packet
+	answered              // nobody has the flow, or nobody could tell
 )
 
 // search is a flow that is looked for.
 type search struct {
-	began time.Time
-
-	// id is in the envelopes of the search, so that late answers to an earlier
-	// one do not count.
-	id uint16
+	state state
 
-	// said are the agents that do not have the flow; unsure if one of them
-	// could not know.
-	said   []flow.Endpoint
-	unsure bool
+	// at is when the state was entered. Answers to an earlier round do not count.
+	at time.Time
 
-	// chained says that the agents are asked one after the other.
-	chained bool
+	// packet is the caller's last one, acknowledged what it acknowledges.
+	packet       []byte
+	acknowledged uint32
 
 	// members is the version of the list of members that the search goes by.
 	members uint64
 
-	// answered says that the search came to its end.
-	answered bool
+	// unsure are the agents that cannot know whether they have the flow.
+	unsure []flow.Endpoint
 
-	// packet is kept while the balancer does not know all agents.
-	packet []byte
+	// doubtful says that the search ended without certainty.
+	doubtful bool
 }
 
-// lookup looks for the agent that has a flow. The packet goes along the ranks of
-// the flow. An agent that died silently breaks such a chain; then the agents are
-// asked side by side when the caller repeats the packet.
-func (s *Steer) lookup(now time.Time, key flow.Key, packet []byte, route *config.Route, except flow.Endpoint) {
-	agents, dead := s.holders(now, route, key.Hash(), except)
-	if len(agents) == 0 {
-		s.ask(key, packet, route, dead, &search{})
-		s.out = append(s.out, Action{Verb: Drop, Reason: NoUpstream, Key: key})
-		return
-	}
+// silentAgent stands among the unsure agents for those that did not answer.
+var silentAgent flow.Endpoint
+
+// query is a round of questions to agents that may have the same flows.
+type query struct {
+	at      time.Time
+	keys    []flow.Key
+	waiting map[flow.Endpoint]bool // agents that have not answered
+}
 
+// lookup looks for the agent that has a flow. The packet goes along the first
+// ranks of the flow; if nobody there has it, all agents are asked, many flows in
+// one message, and the packet goes only where it belongs.
+func (s *Steer) lookup(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) {
 	f := s.searches[key]
-	if f != nil && now.Sub(f.began) < searchTimeout {
-		s.chain(key, packet, route, agents, nil)
+	if f == nil && len(s.searches) >= maxSearches {
+		s.out = append(s.out, Action{Verb: Drop, Reason: NotFoundUnsure, Key: key})
 		return
 	}
-	if f != nil && f.answered && !f.unsure && f.members == s.members && !s.settled {
-		return // nobody new to ask
-	}
-	if f == nil {
-		f = &search{answered: true}
-		if len(s.searches) < maxSearches {
-			s.searches[key] = f
-		}
-	}
 
-	broken := !f.answered
-	s.searchID++
-	*f = search{began: now, id: s.searchID, members: s.members, chained: !broken}
-	if !s.settled {
-		f.packet = slices.Clone(packet)
+	first := f == nil
+	if first {
+		f = &search{state: chained, at: now}
+		s.searches[key] = f
 	}
-	if f.chained {
-		s.chain(key, packet, route, agents, f)
-		return
+	f.packet = append(f.packet[:0], p.Raw...)
+	f.acknowledged = p.Acknowledged
+	switch {
+	case f.state == chained:
+		s.chain(now, key, p.Raw, route, first)
+	case f.state == answered && (f.doubtful || f.members != s.members):
+		f.enter(waiting, now)
 	}
-	s.ask(key, packet, route, agents[:min(len(agents), maxAtOnce)], f)
 }
 
-// ask sends a packet to agents side by side.
-func (s *Steer) ask(key flow.Key, packet []byte, route *config.Route, agents []*agent, f *search) {
-	envelope := s.envelope(route, key, true)
-	envelope.Search = f.id
-	for _, a := range agents {
-		s.send(Action{Reason: LookupAll, Key: key, To: a.endpoint, Envelope: envelope, Packet: packet})
-	}
+func (f *search) enter(next state, now time.Time) {
+	f.state, f.at = next, now
 }
 
-// chain sends a packet along agents. Only the packet that a search began with
-// belongs to it; the others of the flow go the same way.
-func (s *Steer) chain(key flow.Key, packet []byte, route *config.Route, agents []*agent, f *search) {
-	envelope := s.envelope(route, key, f != nil)
-	if f != nil {
-		envelope.Search = f.id
+// chain sends a packet along the first ranks of its flow. Only the packet that a
+// search began with asks for a note; others of the flow go the same way.
+func (s *Steer) chain(now time.Time, key flow.Key, packet []byte, route *config.Route, wantNote bool) {
+	agents, dead := s.holders(now, route, key.Hash())
+	if len(agents) == 0 {
+		agents = dead
+	}
+	if len(agents) == 0 {
+		s.out = append(s.out, Action{Verb: Drop, Reason: NoUpstream, Key: key})
+		return
 	}
-	for _, a := range agents[1:min(len(agents), hop.MaxRanks+1)] {
+
+	envelope := s.envelope(route, key, wantNote)
+	for _, a := range agents[1:min(len(agents), chainLength)] {
 		envelope.Ranks[envelope.Count] = a.endpoint
 		envelope.Count++
 	}
 	s.send(Action{Reason: Lookup, Key: key, To: agents[0].endpoint, Envelope: envelope, Packet: packet})
 }
 
-// answered takes a packet of a search back. Once all agents that may have the
-// flow said that they do not, its caller learns that it is gone.
-func (s *Steer) answered(now time.Time, e *hop.Envelope, p *flow.Packet, route *config.Route) {
+// passedOn takes a packet back that went along agents, or was offered to one,
+// without being taken.
+func (s *Steer) passedOn(now time.Time, e *hop.Envelope, p *flow.Packet) {
 	key := p.FromCaller()
 	f := s.searches[key]
-	if f == nil || f.id != e.Search || f.answered || s.flows[key] != nil {
+	if f == nil {
 		return
 	}
-
-	agents, dead := s.holders(now, route, key.Hash(), flow.Endpoint{})
-	f.unsure = f.unsure || e.Unsure || f.members != s.members
-	f.note(e, agents)
-	if len(f.said) < min(len(agents), maxAsked) {
-		s.askMore(key, p.Raw, route, agents, f)
-		return
+	switch f.state {
+	case chained:
+		f.enter(waiting, now)
+	case offered:
+		f.unsure = slices.DeleteFunc(f.unsure, func(a flow.Endpoint) bool { return a == e.Agent && !e.Unsure })
+		if len(f.unsure) == 0 {
+			s.conclude(now, key, f)
+		}
 	}
+}
 
-	f.answered = true
-	if doubt := s.doubt(f, dead); doubt != "" || p.Reset {
-		s.ask(key, p.Raw, route, dead, f)
-		s.out = append(s.out, Action{Verb: Drop, Reason: doubt, Key: key})
-		return
+// searching reports whether searches need ticks.
+func (s *Steer) searching() bool {
+	for _, f := range s.searches {
+		if f.state != answered || !s.settled {
+			return true
+		}
 	}
-	delete(s.searches, key)
-	s.out = append(s.out, Action{Verb: Reset, Reason: Gone, Key: key, Sequence: p.Acknowledged})
+	return len(s.queries) > 0
 }
 
-// askMore goes on with the agents that were not asked yet: along them, or side by
-// side once all asked so far have answered.
-func (s *Steer) askMore(key flow.Key, packet []byte, route *config.Route, agents []*agent, f *search) {
-	said := len(f.said)
-	switch {
-	case f.members != s.members:
-	case f.chained:
-		s.chain(key, packet, route, agents[said:], f)
-	case said%maxAtOnce == 0:
-		s.ask(key, packet, route, agents[said:min(len(agents), said+maxAtOnce)], f)
+// ask sends the questions that are due, and gives up those without answers.
+func (s *Steer) ask(now time.Time) {
+	for id, q := range s.queries {
+		if now.Sub(q.at) >= queryTimeout {
+			delete(s.queries, id)
+			s.timeOut(now, q)
+		}
 	}
-}
 
-// doubt returns why a flow that nobody has may exist all the same, or nothing.
-func (s *Steer) doubt(f *search, dead []*agent) Reason {
-	switch {
-	case f.unsure, len(f.said) >= maxAsked:
-		return NotFoundUnsure
-	case len(dead) > 0:
-		return NotFoundDead
-	case !s.settled:
-		return NotFoundUnsettled
+	due := map[flow.Endpoint][]flow.Key{}
+	for key, f := range s.searches {
+		switch {
+		case f.state == chained && now.Sub(f.at) >= chainTimeout:
+			f.enter(waiting, now)
+		case f.state == offered && now.Sub(f.at) >= queryTimeout:
+			s.end(now, key, f, NotFoundUnsure)
+		}
+		if f.state == waiting {
+			due[key.Service] = append(due[key.Service], key)
+		}
+	}
+	for address, keys := range due {
+		route := s.routes[address]
+		for route != nil && len(keys) > 0 {
+			count := min(len(keys), hop.MaxQuestions)
+			s.query(now, route, keys[:count])
+			keys = keys[count:]
+		}
 	}
-	return ""
 }
 
-// Expect names the members that were known before the balancer started.
-func (s *Steer) Expect(members []flow.Endpoint) {
-	s.expected = members
-	s.counted = true
+// query asks all agents that may have flows of a route.
+func (s *Steer) query(now time.Time, route *config.Route, keys []flow.Key) {
+	questions := make([]hop.Question, 0, len(keys))
+	for _, key := range keys {
+		f := s.searches[key]
+		f.enter(asked, now)
+		f.members, f.unsure, f.doubtful = s.members, nil, false
+		questions = append(questions, hop.Question{Key: key, Acknowledged: f.acknowledged})
+	}
+
+	s.queryID++
+	q := &query{at: now, keys: slices.Clone(keys), waiting: map[flow.Endpoint]bool{}}
+	s.queries[s.queryID] = q
+	payload := hop.AppendQuestions(nil, questions)
+	living, dead := s.holders(now, route, keys[0].Hash())
+	for _, a := range append(living[:min(len(living), maxAsked)], dead...) {
+		q.waiting[a.endpoint] = true
+		s.send(Action{
+			To: a.endpoint, Packet: payload,
+			Envelope: hop.Envelope{Kind: hop.Query, Search: s.queryID, Balancer: s.self, Revision: s.revision},
+		})
+	}
 }
 
-// settle finds out whether all agents are known: those that were known before
-// have been heard of, or had the time for it. Callers that could not be answered
-// until then are answered now.
-func (s *Steer) settle(now time.Time) {
-	age := now.Sub(s.started)
-	if s.settled || (age < settleLatest && !s.complete(age)) {
+// replied takes an agent's words on the flows of a query.
+func (s *Steer) replied(now time.Time, e *hop.Envelope, words []byte) {
+	q := s.queries[e.Search]
+	if q == nil || !q.waiting[e.Agent] || len(words) != len(q.keys) {
 		return
 	}
-
-	s.settled = true
-	for key, f := range s.searches {
-		route := s.routes[key.Service]
-		if f.packet == nil || route == nil || s.flows[key] != nil {
+	delete(q.waiting, e.Agent)
+	for i, key := range q.keys {
+		f := s.searches[key]
+		if f == nil || !f.isOf(q) {
 			continue
 		}
-		f.began, f.answered = time.Time{}, true
-		s.lookup(now, key, f.packet, route, flow.Endpoint{})
-		f.packet = nil
+		switch hop.Holding(words[i]) {
+		case hop.Held:
+			s.found(now, key, f, e.Agent)
+		case hop.Unsure:
+			f.unsure = append(f.unsure, e.Agent)
+		}
+	}
+	if len(q.waiting) > 0 {
+		return
 	}
-}
 
-// complete reports whether all members that were known before are known again.
-// The list of them may lack the latest ones: unless all balancers started anew,
-// it takes settleTime as well to learn what the others know.
-func (s *Steer) complete(age time.Duration) bool {
-	for _, settled := range s.balancers {
-		if settled && age < settleTime {
-			return false
+	delete(s.queries, e.Search)
+	for _, key := range q.keys {
+		if f := s.searches[key]; f != nil && f.isOf(q) {
+			s.offer(now, key, f)
 		}
 	}
-	return s.counted && !slices.ContainsFunc(s.expected, func(e flow.Endpoint) bool {
-		_, balancer := s.balancers[e]
-		return !balancer && s.agents[e] == nil
-	})
 }
 
-// Settled reports whether all agents are known.
-func (s *Steer) Settled() bool {
-	return s.settled
+// isOf reports whether a search waits for the answers to a query.
+func (f *search) isOf(q *query) bool {
+	return f.state == asked && f.at.Equal(q.at)
 }
 
-// Ready reports whether packets would be routed right. Where others go on, it
-// takes until all agents are known; when all started anew, somebody has to begin.
-func (s *Steer) Ready() bool {
-	if s.revision == 0 || s.Agents() == 0 {
-		return false
+// found sends the packet of a flow to the agent that has it.
+func (s *Steer) found(now time.Time, key flow.Key, f *search, agent flow.Endpoint) {
+	delete(s.searches, key)
+	if len(s.flows) < maxFlows {
+		s.flows[key] = &entry{agent: agent, at: now}
 	}
-	for _, settled := range s.balancers {
-		if settled {
-			return s.settled
-		}
+	if route := s.routes[key.Service]; route != nil {
+		s.send(Action{Reason: Found, Key: key, To: agent, Envelope: s.envelope(route, key, false), Packet: f.packet})
 	}
-	return true
 }
 
-// note records which agents do not have the flow: those that a chain went along
-// in the order of agents, or the one that was asked alone.
-func (f *search) note(e *hop.Envelope, agents []*agent) {
-	if f.chained {
-		from := len(f.said)
-		for _, a := range agents[min(from, len(agents)):min(from+int(e.Tried)+1, len(agents))] {
-			f.said = append(f.said, a.endpoint)
-		}
+// offer gives the packet of a flow that no agent knows to those that cannot know.
+func (s *Steer) offer(now time.Time, key flow.Key, f *search) {
+	route := s.routes[key.Service]
+	if len(f.unsure) == 0 || route == nil {
+		s.conclude(now, key, f)
 		return
 	}
-	if !slices.Contains(f.said, e.Agent) {
-		f.said = append(f.said, e.Agent)
+	f.enter(offered, now)
+	for _, a := range f.unsure {
+		if a == silentAgent {
+			continue
+		}
+		s.send(Action{Reason: Offered, Key: key, To: a, Envelope: s.envelope(route, key, true), Packet: f.packet})
 	}
 }
 
-// holders returns the agents that may have a flow, the likeliest first: those of
-// the services that its address leads to or led to, by rank. Those that died a
-// moment ago come apart.
-func (s *Steer) holders(now time.Time, route *config.Route, hash uint64, except flow.Endpoint) (living, dead []*agent) {
-	for _, name := range s.servicesOf(route, hash) {
-		svc := s.services[name]
-		if svc == nil {
+// timeOut ends the searches of a query that some agents did not answer.
+func (s *Steer) timeOut(now time.Time, q *query) {
+	for _, key := range q.keys {
+		f := s.searches[key]
+		if f == nil || !f.isOf(q) {
 			continue
 		}
-		order, scores := make([]int, len(svc.agents)), make([]uint64, len(svc.agents))
-		count := rank.Top(hash, svc.ranked, order, scores)
-		for _, i := range order[:count] {
-			a := svc.agents[i]
-			switch {
-			case a.endpoint == except:
-			case a.member.State != roster.Dead:
-				living = append(living, a)
-			case now.Sub(a.deadSince) < deadDoubt && !a.member.Empty:
-				dead = append(dead, a)
-			}
+		if len(f.unsure) > 0 {
+			f.unsure = append(f.unsure, silentAgent)
+			s.offer(now, key, f)
+			continue
 		}
+		s.end(now, key, f, NotFoundSilent)
 	}
-	return living, dead
 }
 
-// servicesOf returns the services that may have a flow of a route: the one that
-// new flows of this hash go to first.
-func (s *Steer) servicesOf(route *config.Route, hash uint64) []string {
-	first := route.Pick(hash)
-	names := []string{first}
-	for _, share := range route.Shares {
-		if share.Service != first {
-			names = append(names, share.Service)
-		}
+// conclude ends a search for a flow that no agent has. Its caller learns that it
+// is gone if nothing speaks against it.
+func (s *Steer) conclude(now time.Time, key flow.Key, f *search) {
+	route := s.routes[key.Service]
+	if route == nil {
+		s.end(now, key, f, NoRoute)
+		return
 	}
-	for _, former := range s.former[flow.EndpointOf(route.Address)] {
-		if !slices.Contains(names, former) {
-			names = append(names, former)
-		}
+	living, dead := s.holders(now, route, key.Hash())
+	switch {
+	case f.members != s.members, len(living) > maxAsked:
+		s.end(now, key, f, NotFoundUnsure)
+	case len(dead) > 0:
+		s.end(now, key, f, NotFoundDead)
+	case !s.settled:
+		s.end(now, key, f, NotFoundUnsettled)
+	default:
+		delete(s.searches, key)
+		s.out = append(s.out, Action{Verb: Reset, Reason: Gone, Key: key, Sequence: f.acknowledged})
 	}
-	return names
 }
 
-// remember keeps the services that routes led to before a change: open flows stay there.
-func (s *Steer) remember() {
-	for address, route := range s.routes {
-		for _, share := range route.Shares {
-			if !slices.Contains(s.former[address], share.Service) {
-				s.former[address] = append(s.former[address], share.Service)
-			}
-		}
-	}
+// end ends a search without certainty; the caller's next packet begins another round.
+func (s *Steer) end(now time.Time, key flow.Key, f *search, reason Reason) {
+	f.enter(answered, now)
+	f.doubtful = true
+	s.out = append(s.out, Action{Verb: Drop, Reason: reason, Key: key})
 }
--- /dev/null
+++ b/internal/coordination/steer/settle.go
@@ -0,0 +1,135 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/rank"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+const (
+	// settleTime is how long after its start a balancer learns what the others
+	// know: a digest goes out every two seconds.
+	settleTime = 3 * time.Second
+
+	// settleLatest is when a balancer goes by the agents that it knows, even if
+	// some that were known before are missing.
+	settleLatest = 10 * time.Second
+
+	// deadDoubt is how long an agent that is taken for dead may still come back
+	// beside an upstream with open flows.
+	deadDoubt = 5 * time.Second
+)
+
+// Expect names the members that were known before the balancer started.
+func (s *Steer) Expect(members []flow.Endpoint) {
+	s.expected = members
+	s.counted = true
+}
+
+// settle finds out whether all agents are known: those that were known before
+// have been heard of, or had the time for it. Callers that could not be answered
+// until then are answered now.
+func (s *Steer) settle(now time.Time) {
+	age := now.Sub(s.started)
+	if s.settled || (age < settleLatest && !s.complete(age)) {
+		return
+	}
+
+	s.settled = true
+	for _, f := range s.searches {
+		if f.state == answered {
+			f.enter(waiting, now)
+		}
+	}
+}
+
+// complete reports whether all members that were known before are known again.
+// The list of them may lack the latest ones: unless all balancers started anew,
+// it takes settleTime as well to learn what the others know.
+func (s *Steer) complete(age time.Duration) bool {
+	for _, settled := range s.balancers {
+		if settled && age < settleTime {
+			return false
+		}
+	}
+	return s.counted && !slices.ContainsFunc(s.expected, func(e flow.Endpoint) bool {
+		_, balancer := s.balancers[e]
+		return !balancer && s.agents[e] == nil
+	})
+}
+
+// Settled reports whether all agents are known.
+func (s *Steer) Settled() bool {
+	return s.settled
+}
+
+// Ready reports whether packets would be routed right. Where others go on, it
+// takes until all agents are known; when all started anew, somebody has to begin.
+func (s *Steer) Ready() bool {
+	if s.revision == 0 || s.Agents() == 0 {
+		return false
+	}
+	for _, settled := range s.balancers {
+		if settled {
+			return s.settled
+		}
+	}
+	return true
+}
+
+// holders returns the agents that may have a flow, the likeliest first: those of
+// the services that its address leads to or led to, by rank. Those that died a
+// moment ago come apart.
+func (s *Steer) holders(now time.Time, route *config.Route, hash uint64) (living, dead []*agent) {
+	for _, name := range s.servicesOf(route, hash) {
+		svc := s.services[name]
+		if svc == nil {
+			continue
+		}
+		order, scores := make([]int, len(svc.agents)), make([]uint64, len(svc.agents))
+		count := rank.Top(hash, svc.ranked, order, scores)
+		for _, i := range order[:count] {
+			a := svc.agents[i]
+			switch {
+			case a.member.State != roster.Dead:
+				living = append(living, a)
+			case now.Sub(a.deadSince) < deadDoubt && !a.member.Empty:
+				dead = append(dead, a)
+			}
+		}
+	}
+	return living, dead
+}
+
+// servicesOf returns the services that may have a flow of a route: the one that
+// new flows of this hash go to first.
+func (s *Steer) servicesOf(route *config.Route, hash uint64) []string {
+	first := route.Pick(hash)
+	names := []string{first}
+	for _, share := range route.Shares {
+		if share.Service != first {
+			names = append(names, share.Service)
+		}
+	}
+	for _, former := range s.former[flow.EndpointOf(route.Address)] {
+		if !slices.Contains(names, former) {
+			names = append(names, former)
+		}
+	}
+	return names
+}
+
+// remember keeps the services that routes led to before a change: open flows stay there.
+func (s *Steer) remember() {
+	for address, route := range s.routes {
+		for _, share := range route.Shares {
+			if !slices.Contains(s.former[address], share.Service) {
+				s.former[address] = append(s.former[address], share.Service)
+			}
+		}
+	}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -84,7 +84,8 @@
 	Placed     Reason = "placed"
 	PlacedNext Reason = "placedNextAfterSilence"
 	Lookup     Reason = "lookup"
-	LookupAll  Reason = "lookupAtAll"
+	Offered    Reason = "offered"
+	Found      Reason = "found"
 	Gone       Reason = "flowGone"
 	NoRoute    Reason = "noRoute"
 	NoUpstream Reason = "noUpstream"
@@ -94,6 +95,7 @@
 	NotFoundUnsure    Reason = "notFoundAgentUnsure"
 	NotFoundDead      Reason = "notFoundAgentDied"
 	NotFoundUnsettled Reason = "notFoundAgentsUnknown"
+	NotFoundSilent    Reason = "notFoundAgentSilent"
 	RouteUnsure       Reason = "noRouteConfigUnsure"
 	Malformed         Reason = "malformed"
 )
@@ -137,7 +139,8 @@
 
 	// searches are the flows that were looked for and not found yet.
 	searches map[flow.Key]*search
-	searchID uint16
+	queries  map[uint16]*query
+	queryID  uint16
 
 	// expected are the members that were known before the start, if counted;
 	// settled says that all agents are known. balancers are this one and the
@@ -166,6 +169,7 @@
 		flows:     map[flow.Key]*entry{},
 		opens:     map[flow.Key]*open{},
 		searches:  map[flow.Key]*search{},
+		queries:   map[uint16]*query{},
 		former:    map[flow.Endpoint][]string{},
 	}
 }
@@ -262,7 +266,7 @@
 		s.send(Action{Key: key, To: e.agent, Envelope: s.envelope(route, key, false), Packet: p.Raw})
 		return
 	}
-	s.lookup(now, key, p.Raw, route, flow.Endpoint{})
+	s.lookup(now, key, p, route)
 }
 
 func (s *Steer) envelope(route *config.Route, key flow.Key, wantNote bool) hop.Envelope {
@@ -308,6 +312,8 @@
 			break
 		}
 		s.returned(now, e, &p)
+	case hop.Reply:
+		s.replied(now, e, payload)
 	}
 	return s.out
 }
@@ -353,21 +359,21 @@
 		return
 	}
 	if e.WantNote {
-		s.answered(now, e, p, route)
+		s.passedOn(now, e, p)
 		return
 	}
 
 	if known := s.flows[key]; known != nil && known.agent == e.Agent {
 		delete(s.flows, key)
-		s.lookup(now, key, p.Raw, route, e.Agent)
+		s.lookup(now, key, p, route)
 	}
 }
 
 // Due returns when Tick has something to do, and false if it has nothing.
 func (s *Steer) Due() (time.Time, bool) {
 	var due time.Time
-	if !s.settled && len(s.searches) > 0 {
-		due = s.lastTick.Add(settleEvery)
+	if s.searching() {
+		due = s.lastTick.Add(queryEvery)
 	}
 	for _, o := range s.opens {
 		if at := o.at.Add(s.openTimeout()); due.IsZero() || at.Before(due) {
@@ -384,6 +390,7 @@
 	late := s.late(now)
 	s.lastTick = now
 	s.settle(now)
+	s.ask(now)
 	for key, o := range s.opens {
 		if late > 0 {
 			o.at = o.at.Add(late)
@@ -400,7 +407,7 @@
 // late returns by how much this tick is late, 0 if it came in time.
 func (s *Steer) late(now time.Time) time.Duration {
 	due, waiting := s.Due()
-	if late := now.Sub(due); waiting && s.settled && late > lateTick {
+	if late := now.Sub(due); waiting && !s.searching() && late > lateTick {
 		return late
 	}
 	return 0
@@ -416,7 +423,7 @@
 	}
 	s.lastSweep = now
 	for key, f := range s.searches {
-		if now.Sub(f.began) > searchTTL {
+		if now.Sub(f.at) > searchTTL {
 			delete(s.searches, key)
 		}
 	}
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/hop/hop.go
@@ -24,6 +24,10 @@
 	Note Kind = 17
 	// Return gives a packet back to the balancer: no agent that was asked has its flow.
 	Return Kind = 18
+	// Query asks an agent which of some flows it has.
+	Query Kind = 19
+	// Reply answers a Query.
+	Reply Kind = 20
 )
 
 // MaxRanks is the largest number of further agents that an envelope names.
@@ -82,7 +86,7 @@
 	// Tried counts the agents that had the packet before.
 	Tried uint8
 
-	// Search tells the searches of a balancer apart; it comes back unchanged.
+	// Search tells the questions of a balancer apart; it comes back unchanged.
 	Search uint16
 
 	// Load and Slots are the agent's, in requests.
@@ -150,7 +154,7 @@
 		return Envelope{}, nil, ErrTruncated
 	}
 	e := Envelope{Kind: Kind(datagram[0]), Count: int(datagram[1]), Tried: datagram[3]}
-	if e.Kind != Carry && e.Kind != Note && e.Kind != Return {
+	if e.Kind < Carry || e.Kind > Reply {
 		return Envelope{}, nil, ErrKind
 	}
 	if e.Count > MaxRanks {
--- /dev/null
+++ b/internal/protocol/hop/query.go
@@ -0,0 +1,54 @@
+package hop
+
+import (
+	"encoding/binary"
+
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// MaxQuestions is how many flows a Query can name so that it fits a packet.
+const MaxQuestions = 64
+
+const questionLength = flow.KeyLength + 4
+
+// Question is one flow of a Query.
+type Question struct {
+	Key flow.Key
+
+	// Acknowledged is what the caller acknowledged last.
+	Acknowledged uint32
+}
+
+// Holding is an agent's word on one flow of a Query.
+type Holding byte
+
+// The words.
+const (
+	NotHeld Holding = 0
+	Held    Holding = 1
+	// Unsure agents do not know all flows of their upstream.
+	Unsure Holding = 2
+)
+
+// AppendQuestions adds the payload of a Query to dst.
+func AppendQuestions(dst []byte, questions []Question) []byte {
+	for i := range questions {
+		dst = questions[i].Key.Append(dst)
+		dst = binary.BigEndian.AppendUint32(dst, questions[i].Acknowledged)
+	}
+	return dst
+}
+
+// QuestionsOf reads the payload of a Query. It returns ErrTruncated for a malformed one.
+func QuestionsOf(payload []byte) ([]Question, error) {
+	count := len(payload) / questionLength
+	if count*questionLength != len(payload) || count > MaxQuestions {
+		return nil, ErrTruncated
+	}
+	questions := make([]Question, count)
+	for i := range questions {
+		at := payload[i*questionLength:]
+		questions[i] = Question{Key: flow.KeyAt(at), Acknowledged: binary.BigEndian.Uint32(at[flow.KeyLength:])}
+	}
+	return questions, nil
+}
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -244,6 +244,10 @@
 
 // note logs and counts a decision. Packets of known flows are only counted.
 func (n *Inlet) note(a *steer.Action) {
+	if a.Envelope.Kind == hop.Query {
+		n.metrics.Datagrams.WithLabelValues("query").Inc()
+		return
+	}
 	if a.Reason == "" {
 		n.metrics.Datagrams.WithLabelValues("known").Inc()
 		return
--- a/internal/transport/outlet/act.go
+++ b/internal/transport/outlet/act.go
@@ -48,7 +48,11 @@
 		t.buffer = t.codec.Append(t.buffer[:0], &a.Envelope, a.Packet)
 		t.write(t.link.Conn(), t.buffer, a.To.AddrPort())
 	case owner.Tell:
-		t.buffer = t.codec.Append(t.buffer[:0], &a.Envelope, a.Key.Append(nil))
+		payload := a.Packet
+		if payload == nil {
+			payload = a.Key.Append(nil)
+		}
+		t.buffer = t.codec.Append(t.buffer[:0], &a.Envelope, payload)
 		t.write(t.link.Conn(), t.buffer, a.To.AddrPort())
 	case owner.Reset:
 		t.buffer = t.packets.Reset(t.buffer[:0], a.Key, a.Sequence)
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -205,19 +205,30 @@
 
 func (t *Outlet) fromBalancer(datagram []byte) {
 	e, payload, err := t.codec.Open(datagram)
-	if err != nil || e.Kind != hop.Carry {
-		t.metrics.Dropped.WithLabelValues("malformed").Inc()
-		return
-	}
-	p, err := t.packets.Parse(payload)
 	if err != nil {
 		t.metrics.Dropped.WithLabelValues("malformed").Inc()
 		return
 	}
-
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.carryOut(t.core.FromBalancer(time.Now(), &e, &p))
+	switch e.Kind {
+	case hop.Carry:
+		p, err := t.packets.Parse(payload)
+		if err != nil {
+			t.metrics.Dropped.WithLabelValues("malformed").Inc()
+			return
+		}
+		t.carryOut(t.core.FromBalancer(time.Now(), &e, &p))
+	case hop.Query:
+		questions, err := hop.QuestionsOf(payload)
+		if err != nil {
+			t.metrics.Dropped.WithLabelValues("malformed").Inc()
+			return
+		}
+		t.carryOut(t.core.FromQuery(&e, questions))
+	default:
+		t.metrics.Dropped.WithLabelValues("malformed").Inc()
+	}
 }
 
 // follow takes changes of the configuration into use.
