--- a/internal/transport/link/census.go
+++ b/internal/transport/link/census.go
@@ -23,12 +23,9 @@
 	// censusEvery is the time between two looks at whether it must be written.
 	censusEvery = 2 * time.Second
 
-	// isolatedFor is how long a process calls the balancers that its settings name
-	// before it asks the store for others.
-	isolatedFor = 2 * time.Second
-
-	// censusSeeds is how many balancers of the census are called at once.
-	censusSeeds = 6
+	// censusSeeds is how many balancers of the census are called at once: enough
+	// that all soon know of a process that starts after an outage.
+	censusSeeds = 12
 )
 
 // Census is the addresses of all members, each list sorted.
@@ -89,11 +86,11 @@
 	return members, errors.Wrap(cbor.Unmarshal(entry.Value, &members), "decode census")
 }
 
-// FollowCensus looks for balancers in the store while this process hears none.
-// The settings may name only some that are gone.
+// FollowCensus looks for balancers in the store while this process hears none, at
+// its start among others. The settings may name only some that are gone.
 func (l *Link) FollowCensus(ctx context.Context) {
 	var pause backoff
-	for sleep(ctx, isolatedFor); ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		if !l.isolated() {
 			pause.reset()
 			sleep(ctx, seedRead)
