--- /dev/null
+++ b/internal/coordination/steer/note.go
@@ -0,0 +1,78 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// FromAgent takes a note, or a packet that comes back.
+func (s *Steer) FromAgent(now time.Time, e *hop.Envelope, payload []byte, parse func([]byte) (flow.Packet, error)) []Action {
+	s.out = s.out[:0]
+	switch e.Kind {
+	case hop.Note:
+		s.note(now, e, flow.KeyAt(payload))
+	case hop.Return:
+		p, err := parse(payload)
+		if err != nil {
+			s.out = append(s.out, Action{Verb: Drop, Reason: Malformed})
+			break
+		}
+		s.returned(now, e, &p)
+	case hop.Reply:
+		s.replied(now, e, payload)
+	}
+	return s.out
+}
+
+func (s *Steer) note(now time.Time, e *hop.Envelope, key flow.Key) {
+	if a := s.agents[e.Agent]; a != nil {
+		a.report(now, e)
+	}
+
+	pending := s.opens[key]
+	delete(s.opens, key)
+	delete(s.searches, key)
+	if e.Refused {
+		delete(s.flows, key)
+		return
+	}
+
+	known := s.flows[key]
+	if known == nil {
+		if len(s.flows) >= maxFlows {
+			return
+		}
+		known = &entry{}
+		s.flows[key] = known
+	}
+	if pending != nil {
+		known.opened = true
+		s.noted += (now.Sub(pending.at) - s.noted) / noteWeight
+	}
+	known.agent = e.Agent
+	known.at = now
+}
+
+// returned handles a packet of a flow that the agents asked do not have.
+func (s *Steer) returned(now time.Time, e *hop.Envelope, p *flow.Packet) {
+	key := p.FromCaller()
+	route := s.routes[key.Service]
+	if route == nil {
+		s.refuse(key, p, NoRoute)
+		return
+	}
+	if p.Opening() {
+		return
+	}
+	if e.WantNote {
+		s.passedOn(now, e, p)
+		return
+	}
+
+	if known := s.flows[key]; known != nil && known.agent == e.Agent {
+		delete(s.flows, key)
+		s.lookup(now, key, p, route)
+	}
+}
--- /dev/null
+++ b/internal/coordination/steer/tick.go
@@ -0,0 +1,71 @@
+package steer
+
+import (
+	"time"
+)
+
+// Due returns when Tick has something to do, and false if it has nothing.
+func (s *Steer) Due() (time.Time, bool) {
+	var due time.Time
+	if s.searching() {
+		due = s.lastTick.Add(queryEvery)
+	}
+	for _, o := range s.opens {
+		if at := o.at.Add(s.openTimeout()); due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	return due, !due.IsZero()
+}
+
+// Tick tries the next agent for opening packets that were not noted in time,
+// and forgets flows that have ended.
+func (s *Steer) Tick(now time.Time) []Action {
+	s.out = s.out[:0]
+	late := s.late(now)
+	s.lastTick = now
+	s.settle(now)
+	s.ask(now)
+	for key, o := range s.opens {
+		if late > 0 {
+			o.at = o.at.Add(late)
+			continue
+		}
+		if now.Sub(o.at) >= s.openTimeout() {
+			s.retry(now, key, o)
+		}
+	}
+	s.sweep(now)
+	return s.out
+}
+
+// late returns by how much this tick is late, 0 if it came in time.
+func (s *Steer) late(now time.Time) time.Duration {
+	due, waiting := s.Due()
+	if late := now.Sub(due); waiting && !s.searching() && late > lateTick {
+		return late
+	}
+	return 0
+}
+
+func (s *Steer) openTimeout() time.Duration {
+	return min(max(minOpenTimeout, openTimeoutFactor*s.noted), maxOpenTimeout)
+}
+
+func (s *Steer) sweep(now time.Time) {
+	if now.Sub(s.lastSweep) < sweepEvery {
+		return
+	}
+	s.lastSweep = now
+	for key, f := range s.searches {
+		if now.Sub(f.at) > searchTTL {
+			delete(s.searches, key)
+		}
+	}
+	for key, e := range s.flows {
+		idle := now.Sub(e.at)
+		if idle > s.idle || (e.closing && idle > closedLinger) {
+			delete(s.flows, key)
+		}
+	}
+}
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -18,7 +18,6 @@
 	"github.com/coriandershift/coriandershift/internal/protocol/hop"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
-	"github.com/coriandershift/coriandershift/internal/state/roster"
 	"github.com/coriandershift/coriandershift/internal/transport/link"
 	"github.com/coriandershift/coriandershift/internal/transport/metric"
 )
@@ -230,69 +229,3 @@
 		t.metrics.Dropped.WithLabelValues("malformed").Inc()
 	}
 }
-
-// follow takes changes of the configuration into use.
-func (t *Outlet) follow(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.link.Changed():
-			t.apply()
-		}
-	}
-}
-
-func (t *Outlet) apply() {
-	cfg := t.link.Config()
-	t.link.TakeChanged()
-
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if cfg.Revision == t.revision {
-		return
-	}
-	t.revision = cfg.Revision
-	t.carryOut(t.core.Configure(time.Now(), cfg))
-	t.weigh()
-}
-
-func (t *Outlet) tick(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.timer.C:
-		}
-		t.mu.Lock()
-		t.due = time.Time{}
-		t.carryOut(t.core.Tick(time.Now()))
-		t.metrics.Connections.Set(float64(t.core.Flows()))
-		t.metrics.SlotsUsed.Set(float64(t.core.Requests()))
-		t.weigh()
-		if t.due.IsZero() {
-			t.timer.Reset(sweepEvery)
-		}
-		t.mu.Unlock()
-	}
-}
-
-// weigh tells the balancers whether the upstream takes new flows. It must be
-// called with the lock held.
-func (t *Outlet) weigh() {
-	accepting, doubtful := t.core.Accepting(), t.core.Doubtful(time.Now())
-	if accepting != t.accepting {
-		t.accepting = accepting
-		t.log.Info("taking new flows", "accepting", accepting, "revision", t.revision, "doubtful", doubtful)
-	}
-	weight := uint8(0)
-	if accepting {
-		weight = roster.MaxWeight
-	}
-	t.link.SetWeight(weight)
-	t.link.SetEmpty(t.core.Empty())
-	if doubtful && !t.probing {
-		t.probing = true
-		go t.probe()
-	}
-}
