--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -53,6 +53,7 @@
 	maxMembers  = 10 // fits a datagram of 1,200 bytes
 	maxPeers    = 16 // agents of one service that know each other; fits the same datagram
 	maxRepair   = 30 // messages that answer one digest
+	maxPushes   = 5  // messages of one push: an outage changes many members at once
 )
 
 // Node is one process's part in the membership. It is not safe for concurrent use.
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -307,3 +307,17 @@
 		}
 	}
 }
+
+// After an outage all members change at once; with ten records to a push the
+// balancers took many seconds to know who was back. The platform expects members
+// back within about two seconds of an outage.
+func TestManyChangesAtOnceSpreadWithinSeconds(t *testing.T) {
+	f := settled(t, 18, 30, 400)
+	f.run(10 * time.Second)
+	for _, h := range f.nodes {
+		if h.role == roster.Agent {
+			f.start(h)
+		}
+	}
+	f.mustAgree(2 * time.Second)
+}
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -27,27 +27,39 @@
 	}
 	n.lastPush = now
 
-	message := n.message(Push)
-	if n.revisionSends == 0 {
-		message.shorten() // the admin address is of use with a newer configuration only
+	var sends []Send
+	peers := n.peers(fanout)
+	for _, members := range n.takeFreshest() {
+		message := n.message(Push)
+		if n.revisionSends == 0 {
+			message.shorten() // the admin address is of use with a newer configuration only
+		}
+		message.Members = members
+		for _, to := range peers {
+			sends = append(sends, Send{To: to, Message: message})
+		}
 	}
-	for _, address := range n.freshest(maxMembers) {
+	n.revisionSends = max(0, n.revisionSends-1)
+	return sends
+}
+
+// takeFreshest returns the records of one push, a message's worth each. Without
+// any there is one message, which tells of the revision.
+func (n *Node) takeFreshest() [][]roster.Member {
+	var members []roster.Member
+	for _, address := range n.freshest(maxPushes * maxMembers) {
 		if m, ok := n.roster.Get(address); ok {
-			message.Members = append(message.Members, m)
+			members = append(members, m)
 		}
 		n.rumours[address]--
 		if n.rumours[address] <= 0 {
 			delete(n.rumours, address)
 		}
 	}
-
-	n.revisionSends = max(0, n.revisionSends-1)
-
-	var sends []Send
-	for _, to := range n.peers(fanout) {
-		sends = append(sends, Send{To: to, Message: message})
+	if len(members) == 0 {
+		return [][]roster.Member{nil}
 	}
-	return sends
+	return slices.Collect(slices.Chunk(members, maxMembers))
 }
 
 // freshest returns the records that were pushed least, in an order that is the same in every run.
