--- /dev/null
+++ b/internal/coordination/owner/owner_bench_test.go
@@ -0,0 +1,57 @@
+package owner_test
+
+import (
+	"runtime"
+	"testing"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// BenchmarkWholeFlow is a flow with one request, from opening to end.
+func BenchmarkWholeFlow(b *testing.B) {
+	o := ready()
+	port := uint16(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		port++
+		wholeFlow(o, port)
+	}
+}
+
+func wholeFlow(o *owner.Owner, port uint16) {
+	o.FromBalancer(start, envelope(), opening(port))
+	o.FromUpstream(start, accepted(port))
+	o.FromBalancer(start, envelope(), data(port))
+	o.FromUpstream(start, answer(port))
+	o.FromBalancer(start, envelope(), packet(port, func(p *flow.Packet) {
+		p.Finish, p.Ack, p.Acknowledged = true, true, upstreamStart+201
+	}))
+	o.FromUpstream(start, fromUpstream(port, func(p *flow.Packet) { p.Finish = true }))
+	o.TakeCompletions()
+}
+
+// BenchmarkOpenFlows tells the memory of one open, idle flow.
+func BenchmarkOpenFlows(b *testing.B) {
+	const flows = 10000
+	for b.Loop() {
+		before := heap()
+		o := ready()
+		for port := range uint16(flows) {
+			o.FromBalancer(start, envelope(), opening(port))
+			o.FromUpstream(start, accepted(port))
+			o.FromBalancer(start, envelope(), data(port))
+			o.FromUpstream(start, answer(port))
+		}
+		o.TakeCompletions()
+		b.ReportMetric(float64(heap()-before)/flows, "B/flow")
+		runtime.KeepAlive(o)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/internal/coordination/steer/steer_bench_test.go
@@ -0,0 +1,56 @@
+package steer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/steer"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+func fleetOf(count int) *steer.Steer {
+	var members []roster.Member
+	for i := range count {
+		m := agent(1, "svc")
+		e := flow.Endpoint{IP: [4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}, Port: 7000}
+		m.Address = e.AddrPort()
+		members = append(members, m)
+	}
+	return settled(members...)
+}
+
+func BenchmarkKnownFlow(b *testing.B) {
+	for _, count := range []int{7, 50, 500} {
+		b.Run(fmt.Sprintf("agents=%d", count), func(b *testing.B) {
+			s := fleetOf(count)
+			p := data(1)
+			e, payload := note(p, endpoint(1))
+			s.FromAgent(start, e, payload, parse)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.FromCaller(start, p)
+			}
+		})
+	}
+}
+
+func BenchmarkNewFlow(b *testing.B) {
+	for _, count := range []int{7, 50, 500} {
+		b.Run(fmt.Sprintf("agents=%d", count), func(b *testing.B) {
+			s := fleetOf(count)
+			port := uint16(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				port++
+				p := opening(port)
+				to := s.FromCaller(start, p)
+				if len(to) == 0 {
+					continue
+				}
+				e, payload := note(p, to[0].To)
+				s.FromAgent(start, e, payload, parse)
+			}
+		})
+	}
+}
