Ask all services for a while after a start; rename two packages

Found by reading: a balancer that starts after a route was led to another service did not know where its flows were, and would have reset them once the agents of the new service had said no. For the life of a flow it asks the agents of all services. Services that a route led to before are remembered only while the route exists and has left them.

--- a/internal/coordination/model/model_test.go
+++ b/internal/coordination/model/model_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -27,13 +27,13 @@
 	}
 }
 
-func (w *world) toAgent(to flow.Endpoint, e hop.Envelope, packet []byte) {
+func (w *world) toAgent(to flow.Endpoint, e parcel.Envelope, packet []byte) {
 	for _, a := range w.agents {
 		if a.endpoint != to || a.down {
 			continue
 		}
-		if e.Kind == hop.Query {
-			questions, err := hop.QuestionsOf(packet)
+		if e.Kind == parcel.Query {
+			questions, err := parcel.QuestionsOf(packet)
 			if err != nil {
 				w.fail("unreadable query: %v", err)
 			}
@@ -61,7 +61,7 @@
 			p, _ := unpack(packet)
 			w.carry(func() { w.toCaller(a, p) })
 		case owner.Forward:
-			if e.Kind == hop.Return {
+			if e.Kind == parcel.Return {
 				w.carry(func() { w.toBalancer(to, e, packet) })
 				continue
 			}
@@ -78,7 +78,7 @@
 	}
 }
 
-func (w *world) toBalancer(to flow.Endpoint, e hop.Envelope, payload []byte) {
+func (w *world) toBalancer(to flow.Endpoint, e parcel.Envelope, payload []byte) {
 	for _, b := range w.balancers {
 		if b.endpoint == to && !b.down {
 			w.fromBalancer(b, b.core.FromAgent(w.now, &e, payload, unpack))
--- a/internal/coordination/owner/action.go
+++ b/internal/coordination/owner/action.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -35,7 +35,7 @@
 	Reason   Reason
 	Key      flow.Key
 	To       flow.Endpoint
-	Envelope hop.Envelope
+	Envelope parcel.Envelope
 	Packet   []byte
 
 	// Tag is what to mark a delivered packet with.
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -41,7 +41,7 @@
 
 	// packet and envelope are those of the opening packet while it is unanswered.
 	packet   []byte
-	envelope hop.Envelope
+	envelope parcel.Envelope
 }
 
 func (e *entry) closed() bool {
--- a/internal/coordination/owner/offer.go
+++ b/internal/coordination/owner/offer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -30,10 +30,10 @@
 type offer struct {
 	at       time.Time
 	key      flow.Key
-	envelope hop.Envelope
+	envelope parcel.Envelope
 }
 
-func (f *offers) add(now time.Time, key flow.Key, e *hop.Envelope) (uint32, bool) {
+func (f *offers) add(now time.Time, key flow.Key, e *parcel.Envelope) (uint32, bool) {
 	if len(f.byTag) >= maxOffers {
 		return 0, false
 	}
@@ -43,20 +43,20 @@
 	return f.last, true
 }
 
-func (f *offers) take(tag uint32, key flow.Key) (hop.Envelope, bool) {
+func (f *offers) take(tag uint32, key flow.Key) (parcel.Envelope, bool) {
 	o, ok := f.byTag[tag]
 	if !ok || o.key != key {
-		return hop.Envelope{}, false
+		return parcel.Envelope{}, false
 	}
 	f.drop(tag, key)
 	return o.envelope, true
 }
 
 // taken returns the envelope of a flow that turned out to be the upstream's.
-func (f *offers) taken(key flow.Key) (hop.Envelope, bool) {
+func (f *offers) taken(key flow.Key) (parcel.Envelope, bool) {
 	tag, ok := f.byKey[key]
 	if !ok {
-		return hop.Envelope{}, false
+		return parcel.Envelope{}, false
 	}
 	return f.take(tag, key)
 }
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -7,9 +7,9 @@
 import (
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/state/backlog"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/queue"
 )
 
 const (
@@ -77,7 +77,7 @@
 	opening  map[flow.Key]*entry // those in their handshake
 	requests int                 // flows that the upstream works for, or soon will
 	unheard  int                 // opening packets in a row without an answer
-	backlog  backlog.Backlog
+	backlog  queue.Backlog
 	service  time.Duration // mean time of a request at the upstream
 	offers   offers
 	mayOffer bool // the upstream may have flows from before the agent's start
--- a/internal/coordination/owner/query.go
+++ b/internal/coordination/owner/query.go
@@ -1,13 +1,13 @@
 package owner
 
 import (
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
 // FromQuery answers which flows of a Query are held here. The actions are valid
 // until the next call.
-func (o *Owner) FromQuery(e *hop.Envelope, questions []hop.Question) []Action {
+func (o *Owner) FromQuery(e *parcel.Envelope, questions []parcel.Question) []Action {
 	o.actions = o.actions[:0]
 	words := make([]byte, len(questions))
 	for i, q := range questions {
@@ -17,20 +17,20 @@
 		Verb:     Tell,
 		To:       e.Balancer,
 		Packet:   words,
-		Envelope: hop.Envelope{Kind: hop.Reply, Search: e.Search, Balancer: e.Balancer, Agent: o.settings.Self, Revision: o.cfg.Revision},
+		Envelope: parcel.Envelope{Kind: parcel.Reply, Search: e.Search, Balancer: e.Balancer, Agent: o.settings.Self, Revision: o.cfg.Revision},
 	})
 	return o.actions
 }
 
-func (o *Owner) holding(q *hop.Question) hop.Holding {
+func (o *Owner) holding(q *parcel.Question) parcel.Holding {
 	known := o.flows[q.Key]
 	switch {
 	case known != nil && known.belongs(&flow.Packet{Ack: true, Acknowledged: q.Acknowledged}):
-		return hop.Held
+		return parcel.Held
 	case known == nil && !o.certain():
-		return hop.Unsure
+		return parcel.Unsure
 	}
-	return hop.NotHeld
+	return parcel.NotHeld
 }
 
 // certain reports whether a flow that is not in the table is surely not at the upstream.
--- a/internal/coordination/owner/room.go
+++ b/internal/coordination/owner/room.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
-	"github.com/coriandershift/coriandershift/internal/state/backlog"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/queue"
 )
 
 const (
@@ -34,7 +34,7 @@
 
 // room returns how many requests the upstream may have before others are tried,
 // or before flows wait when there are no others.
-func (o *Owner) room(e *hop.Envelope) int {
+func (o *Owner) room(e *parcel.Envelope) int {
 	if e.Count > 0 && !e.Last {
 		return o.slots()
 	}
@@ -47,7 +47,7 @@
 
 // full handles an opening packet that the upstream has no room for: it goes to
 // the next agent, at last to the one with the shortest backlog, and waits there.
-func (o *Owner) full(now time.Time, key flow.Key, e *hop.Envelope, p *flow.Packet) {
+func (o *Owner) full(now time.Time, key flow.Key, e *parcel.Envelope, p *flow.Packet) {
 	if load := o.fullness(); !e.Last && (e.Best.IsZero() || load < e.BestLoad) {
 		e.Best, e.BestLoad = o.settings.Self, load
 	}
@@ -70,7 +70,7 @@
 }
 
 // wait puts a flow into the backlog, unless its turn would come too late.
-func (o *Owner) wait(now time.Time, key flow.Key, e *hop.Envelope, p *flow.Packet) {
+func (o *Owner) wait(now time.Time, key flow.Key, e *parcel.Envelope, p *flow.Packet) {
 	priority, hurry := o.urgency(key)
 	expected := o.meanService() * time.Duration(o.backlog.Ahead(priority)+1) / time.Duration(o.slots())
 	if expected > maxWait {
@@ -78,7 +78,7 @@
 		return
 	}
 
-	o.backlog.Add(backlog.Waiting{
+	o.backlog.Add(queue.Waiting{
 		Key: key, Priority: priority, Hurry: now.Add(hurry), Until: now.Add(callerPatience),
 		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
 	})
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -26,7 +26,7 @@
 	Reason   Reason
 	Key      flow.Key
 	To       flow.Endpoint
-	Envelope hop.Envelope
+	Envelope parcel.Envelope
 	Packet   []byte
 
 	// Sequence is that of a reset.
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/rank"
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -127,7 +127,7 @@
 	return now.Sub(a.loadAt)
 }
 
-func (a *agent) report(now time.Time, e *hop.Envelope) {
+func (a *agent) report(now time.Time, e *parcel.Envelope) {
 	a.load, a.slots = float64(e.Load), float64(max(1, e.Slots))
 	a.loadAt = now
 	a.sent = 0
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -21,24 +21,24 @@
 
 // query asks all agents that may have flows of a route.
 func (s *Steer) query(now time.Time, route *config.Route, keys []flow.Key) {
-	questions := make([]hop.Question, 0, len(keys))
+	questions := make([]parcel.Question, 0, len(keys))
 	for _, key := range keys {
 		f := s.searches[key]
 		f.enter(asked, now)
 		f.members, f.unsure, f.doubtful = s.members, nil, false
-		questions = append(questions, hop.Question{Key: key, Acknowledged: f.acknowledged})
+		questions = append(questions, parcel.Question{Key: key, Acknowledged: f.acknowledged})
 	}
 
 	s.queryID++
 	q := &query{at: now, keys: slices.Clone(keys), waiting: map[flow.Endpoint]bool{}}
 	s.queries[s.queryID] = q
-	payload := hop.AppendQuestions(nil, questions)
+	payload := parcel.AppendQuestions(nil, questions)
 	living, dead := s.holders(now, route, keys[0].Hash())
 	for _, a := range append(living[:min(len(living), maxAsked)], dead...) {
 		q.waiting[a.endpoint] = true
 		s.send(Action{
 			To: a.endpoint, Packet: payload,
-			Envelope: hop.Envelope{Kind: hop.Query, Search: s.queryID, Balancer: s.self, Revision: s.revision},
+			Envelope: parcel.Envelope{Kind: parcel.Query, Search: s.queryID, Balancer: s.self, Revision: s.revision},
 		})
 	}
 }
@@ -80,7 +80,7 @@
 	for address, keys := range due {
 		route := s.routes[address]
 		for route != nil && len(keys) > 0 {
-			count := min(len(keys), hop.MaxQuestions)
+			count := min(len(keys), parcel.MaxQuestions)
 			s.query(now, route, keys[:count])
 			keys = keys[count:]
 		}
@@ -88,7 +88,7 @@
 }
 
 // replied takes an agent's words on the flows of a query.
-func (s *Steer) replied(now time.Time, e *hop.Envelope, words []byte) {
+func (s *Steer) replied(now time.Time, e *parcel.Envelope, words []byte) {
 	q := s.queries[e.Search]
 	if q == nil || !q.waiting[e.Agent] || len(words) != len(q.keys) {
 		return
@@ -99,10 +99,10 @@
 		if f == nil || !f.isOf(q) {
 			continue
 		}
-		switch hop.Holding(words[i]) {
-		case hop.Held:
+		switch parcel.Holding(words[i]) {
+		case parcel.Held:
 			s.found(now, key, f, e.Agent)
-		case hop.Unsure:
+		case parcel.Unsure:
 			f.unsure = append(f.unsure, e.Agent)
 		}
 	}
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -125,7 +125,7 @@
 
 // passedOn takes a packet back that went along agents, or was offered to one,
 // without being taken.
-func (s *Steer) passedOn(now time.Time, e *hop.Envelope, p *flow.Packet) {
+func (s *Steer) passedOn(now time.Time, e *parcel.Envelope, p *flow.Packet) {
 	key := p.FromCaller()
 	f := s.searches[key]
 	if f == nil {
@@ -183,7 +183,7 @@
 		s.end(now, key, f, NotFoundUnsure)
 	case len(dead) > 0:
 		s.end(now, key, f, NotFoundDead)
-	case !s.settled:
+	case !s.settled, len(s.services) > fewServices && now.Sub(s.started) < flowLife:
 		s.end(now, key, f, NotFoundUnsettled)
 	default:
 		delete(s.searches, key)
--- a/internal/coordination/steer/settle.go
+++ b/internal/coordination/steer/settle.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,13 @@
 	// some that were known before are missing.
 	settleLatest = 10 * time.Second
 
+	// flowLife is how long a flow may live, as the platform bounds it.
+	flowLife = 60 * time.Second
+
+	// fewServices is up to how many services all are asked for a flow whose route
+	// may have led elsewhere before this balancer started.
+	fewServices = 8
+
 	// deadDoubt is how long an agent that is taken for dead may still come back
 	// beside an upstream with open flows.
 	deadDoubt = 5 * time.Second
@@ -85,7 +93,7 @@
 // the services that its address leads to or led to, by rank. Those that died a
 // moment ago come apart.
 func (s *Steer) holders(now time.Time, route *config.Route, hash uint64) (living, dead []*agent) {
-	for _, name := range s.servicesOf(route, hash) {
+	for _, name := range s.servicesOf(now, route, hash) {
 		svc := s.services[name]
 		if svc == nil {
 			continue
@@ -106,8 +114,9 @@
 }
 
 // servicesOf returns the services that may have a flow of a route: the one that
-// new flows of this hash go to first.
-func (s *Steer) servicesOf(route *config.Route, hash uint64) []string {
+// new flows of this hash go to first. A balancer does not know where routes led
+// before its start, so for as long as flows of that time may live it takes all.
+func (s *Steer) servicesOf(now time.Time, route *config.Route, hash uint64) []string {
 	first := route.Pick(hash)
 	names := []string{first}
 	for _, share := range route.Shares {
@@ -120,16 +129,26 @@
 			names = append(names, former)
 		}
 	}
+	if now.Sub(s.started) > flowLife || len(s.services) > fewServices {
+		return names
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
 	return names
 }
 
-// remember keeps the services that routes led to before a change: open flows stay there.
-func (s *Steer) remember() {
+// remember keeps the services that routes led to before a change and do not lead
+// to any more: open flows stay there.
+func (s *Steer) remember(next map[flow.Endpoint]*config.Route) {
 	for address, route := range s.routes {
 		for _, share := range route.Shares {
-			if !slices.Contains(s.former[address], share.Service) {
+			if to := next[address]; to != nil && !to.Serves(share.Service) && !slices.Contains(s.former[address], share.Service) {
 				s.former[address] = append(s.former[address], share.Service)
 			}
 		}
 	}
+	maps.DeleteFunc(s.former, func(address flow.Endpoint, _ []string) bool { return next[address] == nil })
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -34,7 +34,7 @@
 	choices = 4
 
 	// maxFlows bounds the cache; about 100 bytes each.
-	maxFlows = 32768
+	maxFlows = 65536
 
 	// sweepEvery is the time between two passes over the cache.
 	sweepEvery = time.Second
@@ -58,7 +58,7 @@
 type open struct {
 	at       time.Time
 	packet   []byte
-	envelope hop.Envelope
+	envelope parcel.Envelope
 	agent    flow.Endpoint
 }
 
@@ -126,11 +126,12 @@
 	if cfg.IdleTimeout > 0 {
 		s.idle = cfg.IdleTimeout.Duration()
 	}
-	s.remember()
-	s.routes = make(map[flow.Endpoint]*config.Route, len(cfg.Routes))
+	routes := make(map[flow.Endpoint]*config.Route, len(cfg.Routes))
 	for i := range cfg.Routes {
-		s.routes[flow.EndpointOf(cfg.Routes[i].Address)] = &cfg.Routes[i]
+		routes[flow.EndpointOf(cfg.Routes[i].Address)] = &cfg.Routes[i]
 	}
+	s.remember(routes)
+	s.routes = routes
 	for _, svc := range s.services {
 		svc.configure(cfg)
 	}
@@ -215,9 +216,9 @@
 	s.lookup(now, key, p, route)
 }
 
-func (s *Steer) envelope(route *config.Route, key flow.Key, wantNote bool) hop.Envelope {
-	return hop.Envelope{
-		Kind:     hop.Carry,
+func (s *Steer) envelope(route *config.Route, key flow.Key, wantNote bool) parcel.Envelope {
+	return parcel.Envelope{
+		Kind:     parcel.Carry,
 		Revision: s.revision,
 		Service:  config.ServiceHash(route.Pick(key.Hash())),
 		Balancer: s.self,
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -99,13 +99,13 @@
 	return reasons
 }
 
-func back(e hop.Envelope, from flow.Endpoint) *hop.Envelope {
-	e.Kind, e.Agent = hop.Return, from
+func back(e parcel.Envelope, from flow.Endpoint) *parcel.Envelope {
+	e.Kind, e.Agent = parcel.Return, from
 	return &e
 }
 
-func note(p *flow.Packet, from flow.Endpoint) (*hop.Envelope, []byte) {
-	return &hop.Envelope{Kind: hop.Note, Agent: from, Load: 1, Slots: 5}, p.FromCaller().Append(nil)
+func note(p *flow.Packet, from flow.Endpoint) (*parcel.Envelope, []byte) {
+	return &parcel.Envelope{Kind: parcel.Note, Agent: from, Load: 1, Slots: 5}, p.FromCaller().Append(nil)
 }
 
 func TestPacketsWithoutARouteAreReset(t *testing.T) {
@@ -128,7 +128,7 @@
 	loads := map[byte]uint16{10: 9, 11: 9, 12: 1, 13: 9}
 	for last, load := range loads {
 		p := opening(uint16(last))
-		s.FromAgent(start, &hop.Envelope{Kind: hop.Note, Agent: endpoint(last), Load: load, Slots: 5}, p.FromCaller().Append(nil), parse)
+		s.FromAgent(start, &parcel.Envelope{Kind: parcel.Note, Agent: endpoint(last), Load: load, Slots: 5}, p.FromCaller().Append(nil), parse)
 	}
 	got := s.FromCaller(start, opening(500))
 	if len(got) != 1 || got[0].To != endpoint(12) || got[0].Envelope.Count != 3 {
@@ -216,7 +216,7 @@
 	}
 	questions := append([]steer.Action(nil), s.Tick(now)...)
 	for _, q := range questions {
-		if q.Envelope.Kind != hop.Query {
+		if q.Envelope.Kind != parcel.Query {
 			t.Fatalf("got %+v, want a query", q)
 		}
 	}
@@ -224,9 +224,9 @@
 }
 
 // reply answers a query for one flow.
-func reply(s *steer.Steer, now time.Time, q steer.Action, word hop.Holding) []steer.Action {
+func reply(s *steer.Steer, now time.Time, q steer.Action, word parcel.Holding) []steer.Action {
 	e := q.Envelope
-	e.Kind, e.Agent = hop.Reply, q.To
+	e.Kind, e.Agent = parcel.Reply, q.To
 	return s.FromAgent(now, &e, []byte{byte(word)}, parse)
 }
 
@@ -237,10 +237,10 @@
 	s.FromCaller(start, data(1))
 	now := start.Add(150 * time.Millisecond)
 	got := append([]steer.Action(nil), s.Tick(now)...)
-	if len(got) != 3 || got[0].Envelope.Kind != hop.Query {
+	if len(got) != 3 || got[0].Envelope.Kind != parcel.Query {
 		t.Fatalf("got %+v", got)
 	}
-	found := reply(s, now, got[1], hop.Held)
+	found := reply(s, now, got[1], parcel.Held)
 	if len(found) != 1 || found[0].To != got[1].To || found[0].Reason != steer.Found {
 		t.Errorf("got %+v", found)
 	}
@@ -257,7 +257,7 @@
 		if len(got) != 0 {
 			t.Fatalf("got %v before all answered", kinds(got))
 		}
-		got = append(got, reply(s, start, q, hop.NotHeld)...)
+		got = append(got, reply(s, start, q, parcel.NotHeld)...)
 	}
 	if len(got) != 1 || got[0].Verb != steer.Reset || got[0].Reason != steer.Gone || got[0].Sequence != 500 {
 		t.Errorf("got %+v", got)
@@ -276,7 +276,7 @@
 	}
 	asked := 0
 	for _, q := range got {
-		questions, err := hop.QuestionsOf(q.Packet)
+		questions, err := parcel.QuestionsOf(q.Packet)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -290,8 +290,8 @@
 func TestAgentsThatCannotKnowAreOfferedThePacket(t *testing.T) {
 	s := settled(agents("svc", 10, 11)...)
 	questions := query(t, s, start, s.FromCaller(start, data(1))[0])
-	reply(s, start, questions[0], hop.NotHeld)
-	got := append([]steer.Action(nil), reply(s, start, questions[1], hop.Unsure)...)
+	reply(s, start, questions[0], parcel.NotHeld)
+	got := append([]steer.Action(nil), reply(s, start, questions[1], parcel.Unsure)...)
 	if len(got) != 1 || got[0].Reason != steer.Offered || got[0].To != questions[1].To {
 		t.Fatalf("got %+v", got)
 	}
@@ -330,9 +330,9 @@
 
 			var got []steer.Action
 			for _, q := range query(t, s, start, s.FromCaller(start, data(1))[0]) {
-				word := hop.NotHeld
+				word := parcel.NotHeld
 				if test.unsure {
-					word = hop.Unsure
+					word = parcel.Unsure
 				}
 				got = append(got, reply(s, start, q, word)...)
 			}
@@ -351,7 +351,7 @@
 func TestLateAnswersToAnEarlierSearchDoNotCount(t *testing.T) {
 	s := settled(agents("svc", 10, 11, 12)...)
 	first := query(t, s, start, s.FromCaller(start, data(1))[0])
-	reply(s, start, first[0], hop.NotHeld)
+	reply(s, start, first[0], parcel.NotHeld)
 	now := start.Add(500 * time.Millisecond)
 	s.Tick(now) // two agents are silent
 	s.FromCaller(now, data(1))
@@ -360,7 +360,7 @@
 		t.Fatalf("got %v", kinds(second))
 	}
 	for _, late := range append(first, second[0], second[0], second[1]) {
-		if got := reply(s, now, late, hop.NotHeld); len(got) != 0 {
+		if got := reply(s, now, late, parcel.NotHeld); len(got) != 0 {
 			t.Errorf("got %v while one agent has not answered", kinds(got))
 		}
 	}
@@ -394,6 +394,29 @@
 	}
 }
 
+// A balancer that starts after a route was led elsewhere cannot know it, and must
+// not say that a flow is gone which is open where the route led before.
+func TestABalancerThatStartsAsksAllServices(t *testing.T) {
+	for name, test := range map[string]struct {
+		age  time.Duration
+		want int
+	}{
+		"within the life of a flow": {20 * time.Second, 2},
+		"later":                     {2 * time.Minute, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := steer.New(self, "a", start.Add(-test.age))
+			s.Configure(cfg(1, "svc", "other"))
+			s.Members(start, cfg(1, "svc", "other"), append(agents("svc", 10), agents("other", 20)...))
+			s.Tick(start)
+			s.FromCaller(start, data(1))
+			if got := s.Tick(start.Add(150 * time.Millisecond)); len(got) != test.want {
+				t.Errorf("%d agents asked, want %d", len(got), test.want)
+			}
+		})
+	}
+}
+
 func TestAgentsOfADomainThatIsOutGetNoNewFlows(t *testing.T) {
 	away := agent(11, "svc")
 	away.Domain = "b"
@@ -440,16 +463,16 @@
 	s.Configure(cfg(1, "svc"))
 	s.Members(start, cfg(1, "svc"), agents("svc", 10))
 	questions := query(t, s, start, s.FromCaller(start, data(1))[0])
-	if diff := cmp.Diff([]steer.Reason{steer.NotFoundUnsettled}, kinds(reply(s, start, questions[0], hop.NotHeld))); diff != "" {
+	if diff := cmp.Diff([]steer.Reason{steer.NotFoundUnsettled}, kinds(reply(s, start, questions[0], parcel.NotHeld))); diff != "" {
 		t.Fatal(diff)
 	}
 
 	s.Expect([]flow.Endpoint{endpoint(10)})
 	again := append([]steer.Action(nil), s.Tick(start.Add(200*time.Millisecond))...)
-	if len(again) != 1 || again[0].Envelope.Kind != hop.Query {
+	if len(again) != 1 || again[0].Envelope.Kind != parcel.Query {
 		t.Fatalf("got %+v", again)
 	}
-	got := reply(s, start.Add(200*time.Millisecond), again[0], hop.NotHeld)
+	got := reply(s, start.Add(200*time.Millisecond), again[0], parcel.NotHeld)
 	if diff := cmp.Diff([]steer.Reason{steer.Gone}, kinds(got)); diff != "" {
 		t.Error(diff)
 	}
@@ -482,7 +505,7 @@
 		t.Fatalf("%d of %d agents asked", len(questions), len(lasts))
 	}
 	for i, q := range questions {
-		got := reply(s, start, q, hop.NotHeld)
+		got := reply(s, start, q, parcel.NotHeld)
 		if last := i == len(questions)-1; (len(got) == 1) != last {
 			t.Fatalf("after %d answers: got %v", i+1, kinds(got))
 		}
@@ -499,7 +522,7 @@
 			s := settled(append(agents("svc", 10, 11), last)...)
 			for _, q := range query(t, s, start, s.FromCaller(start, data(1))[0]) {
 				if q.To != endpoint(12) {
-					reply(s, start, q, hop.NotHeld)
+					reply(s, start, q, parcel.NotHeld)
 				}
 			}
 			want := []steer.Reason{steer.Gone}
@@ -518,8 +541,8 @@
 	dead.State = roster.Dead
 	s := settled(agent(10, "svc"), dead)
 	questions := query(t, s, start, s.FromCaller(start, data(1))[0])
-	reply(s, start, questions[0], hop.NotHeld)
-	got := reply(s, start, questions[1], hop.NotHeld)
+	reply(s, start, questions[0], parcel.NotHeld)
+	got := reply(s, start, questions[1], parcel.NotHeld)
 	if diff := cmp.Diff([]steer.Reason{steer.NotFoundDead}, kinds(got)); diff != "" {
 		t.Fatal(diff)
 	}
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/parcel/parcel.go
@@ -1,6 +1,6 @@
-// Package hop encodes what balancers and agents tell each other about forwarded
+// Package parcel encodes what balancers and agents tell each other about forwarded
 // flows: packets under way to the upstream that holds their flow, and notes.
-package hop
+package parcel
 
 import (
 	"encoding/binary"
--- a/internal/protocol/hop/hop_test.go
+++ b/internal/protocol/parcel/parcel_test.go
@@ -1,4 +1,4 @@
-package hop_test
+package parcel_test
 
 import (
 	"bytes"
@@ -7,22 +7,22 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
 )
 
-var codec = hop.New(keyset.Set{Cluster: bytes.Repeat([]byte{7}, keyset.KeyLength)})
+var codec = parcel.New(keyset.Set{Cluster: bytes.Repeat([]byte{7}, keyset.KeyLength)})
 
 func endpoint(last byte) flow.Endpoint {
 	return flow.Endpoint{IP: [4]byte{10, 0, 0, last}, Port: 7000 + uint16(last)}
 }
 
-func full() hop.Envelope {
-	e := hop.Envelope{
-		Kind: hop.Carry, Revision: 1 << 40, Service: 77, Balancer: endpoint(1), Agent: endpoint(2),
+func full() parcel.Envelope {
+	e := parcel.Envelope{
+		Kind: parcel.Carry, Revision: 1 << 40, Service: 77, Balancer: endpoint(1), Agent: endpoint(2),
 		WantNote: true, Refused: true, Repeated: true, Unsure: true, Tried: 3, Search: 9,
-		Load: 12, Slots: 5, Best: endpoint(3), BestLoad: 240, Last: true, Count: hop.MaxRanks,
+		Load: 12, Slots: 5, Best: endpoint(3), BestLoad: 240, Last: true, Count: parcel.MaxRanks,
 	}
 	for i := range e.Ranks {
 		e.Ranks[i] = endpoint(byte(10 + i))
@@ -33,12 +33,12 @@
 func TestEnvelopesComeBack(t *testing.T) {
 	key := flow.Key{Caller: endpoint(8), Service: endpoint(9)}.Append(nil)
 	tests := map[string]struct {
-		envelope hop.Envelope
+		envelope parcel.Envelope
 		payload  []byte
 	}{
 		"full":  {full(), []byte("packet")},
-		"empty": {hop.Envelope{Kind: hop.Return}, []byte("packet")},
-		"note":  {hop.Envelope{Kind: hop.Note, Agent: endpoint(2)}, key},
+		"empty": {parcel.Envelope{Kind: parcel.Return}, []byte("packet")},
+		"note":  {parcel.Envelope{Kind: parcel.Note, Agent: endpoint(2)}, key},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -64,17 +64,17 @@
 		bad[at] = to
 		return bad
 	}
-	short := hop.Envelope{Kind: hop.Note}
+	short := parcel.Envelope{Kind: parcel.Note}
 	tests := map[string]struct {
 		datagram []byte
 		want     error
 	}{
-		"nothing":        {nil, hop.ErrTruncated},
-		"cut":            {good[:len(good)-1], hop.ErrTruncated},
-		"unknown kind":   {changed(0, 99), hop.ErrKind},
-		"too many ranks": {changed(1, hop.MaxRanks+1), hop.ErrRanks},
-		"forged":         {changed(9, 1), hop.ErrForged},
-		"note, no key":   {codec.Append(nil, &short, []byte("short")), hop.ErrTruncated},
+		"nothing":        {nil, parcel.ErrTruncated},
+		"cut":            {good[:len(good)-1], parcel.ErrTruncated},
+		"unknown kind":   {changed(0, 99), parcel.ErrKind},
+		"too many ranks": {changed(1, parcel.MaxRanks+1), parcel.ErrRanks},
+		"forged":         {changed(9, 1), parcel.ErrForged},
+		"note, no key":   {codec.Append(nil, &short, []byte("short")), parcel.ErrTruncated},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -87,13 +87,13 @@
 
 func TestNextTakesRanksInOrder(t *testing.T) {
 	e := full()
-	for i := range hop.MaxRanks {
+	for i := range parcel.MaxRanks {
 		next, ok := e.Next()
 		if !ok || next != endpoint(byte(10+i)) {
 			t.Fatalf("rank %d: got %v, %v", i, next, ok)
 		}
 	}
-	if _, ok := e.Next(); ok || e.Tried != 3+hop.MaxRanks {
+	if _, ok := e.Next(); ok || e.Tried != 3+parcel.MaxRanks {
 		t.Errorf("got more ranks, or tried %d", e.Tried)
 	}
 }
--- a/internal/protocol/hop/query.go
+++ b/internal/protocol/parcel/query.go
@@ -1,4 +1,4 @@
-package hop
+package parcel
 
 import (
 	"encoding/binary"
--- a/internal/state/backlog/backlog.go
+++ b/internal/state/queue/queue.go
@@ -1,14 +1,14 @@
-// Package backlog holds the flows that wait for room at an upstream. It is made
+// Package queue holds the flows that wait for room at an upstream. It is made
 // for short overload, such as the surge after an outage or the loss of a failure
 // domain: callers that can still be served in time wait their turn, the most
 // urgent first, and all others are refused at once.
-package backlog
+package queue
 
 import (
 	"slices"
 	"time"
 
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -28,7 +28,7 @@
 	// Sequence and Packet are those of the opening packet, Envelope how it came.
 	Sequence uint32
 	Packet   []byte
-	Envelope hop.Envelope
+	Envelope parcel.Envelope
 }
 
 // Backlog is ordered by priority, then by arrival. Of one priority, the longest
--- a/internal/state/backlog/backlog_test.go
+++ b/internal/state/queue/queue_test.go
@@ -1,4 +1,4 @@
-package backlog_test
+package queue_test
 
 import (
 	"testing"
@@ -6,14 +6,14 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/coriandershift/coriandershift/internal/state/backlog"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/queue"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
-func waiting(id uint16, priority int, hurry time.Duration) backlog.Waiting {
-	return backlog.Waiting{
+func waiting(id uint16, priority int, hurry time.Duration) queue.Waiting {
+	return queue.Waiting{
 		Key:      flow.Key{Caller: flow.Endpoint{Port: id}},
 		Priority: priority,
 		Hurry:    start.Add(hurry),
@@ -24,30 +24,30 @@
 
 func TestOrder(t *testing.T) {
 	tests := map[string]struct {
-		added []backlog.Waiting
+		added []queue.Waiting
 		after time.Duration
 		want  []uint16
 	}{
 		"by arrival": {
-			[]backlog.Waiting{waiting(1, 2, 100*time.Millisecond), waiting(2, 2, 100*time.Millisecond)},
+			[]queue.Waiting{waiting(1, 2, 100*time.Millisecond), waiting(2, 2, 100*time.Millisecond)},
 			0, []uint16{1, 2},
 		},
 		"urgent first": {
-			[]backlog.Waiting{waiting(1, 2, 100*time.Millisecond), waiting(2, 1, 100*time.Millisecond)},
+			[]queue.Waiting{waiting(1, 2, 100*time.Millisecond), waiting(2, 1, 100*time.Millisecond)},
 			0, []uint16{2, 1},
 		},
 		"last first once the longest waiting is late": {
-			[]backlog.Waiting{waiting(1, 2, 0), waiting(2, 2, 0), waiting(3, 2, 100*time.Millisecond)},
+			[]queue.Waiting{waiting(1, 2, 0), waiting(2, 2, 0), waiting(3, 2, 100*time.Millisecond)},
 			50 * time.Millisecond, []uint16{3, 2, 1},
 		},
 		"late ones of a lower priority do not overtake": {
-			[]backlog.Waiting{waiting(1, 2, 0), waiting(2, 1, 100*time.Millisecond)},
+			[]queue.Waiting{waiting(1, 2, 0), waiting(2, 1, 100*time.Millisecond)},
 			50 * time.Millisecond, []uint16{2, 1},
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var b backlog.Backlog
+			var b queue.Backlog
 			for _, w := range test.added {
 				b.Add(w)
 			}
@@ -70,11 +70,11 @@
 		objective = 100 * time.Millisecond
 		arrivals  = 600
 	)
-	var b backlog.Backlog
+	var b queue.Backlog
 	inTime := 0
 	for i := range arrivals {
 		now := start.Add(time.Duration(i) * service / 2)
-		b.Add(backlog.Waiting{
+		b.Add(queue.Waiting{
 			Key: flow.Key{Caller: flow.Endpoint{Port: uint16(i)}}, Hurry: now.Add(objective), Until: now.Add(time.Second),
 		})
 		if i%2 == 1 {
@@ -89,7 +89,7 @@
 }
 
 func TestExpireAndClear(t *testing.T) {
-	var b backlog.Backlog
+	var b queue.Backlog
 	b.Add(waiting(1, 1, 0))
 	late := waiting(2, 1, 0)
 	late.Until = start.Add(2 * time.Second)
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -15,7 +15,7 @@
 	"github.com/coriandershift/coriandershift"
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
 	"github.com/coriandershift/coriandershift/internal/protocol/encap"
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -37,7 +37,7 @@
 	metrics *metric.Set
 	link    *link.Link
 	packets coriandershift.Packets
-	codec   *hop.Codec
+	codec   *parcel.Codec
 	callers *net.UDPConn
 
 	mu       sync.Mutex
@@ -74,7 +74,7 @@
 		metrics: o.Metrics,
 		link:    o.Link,
 		packets: o.Packets,
-		codec:   hop.New(o.Keys),
+		codec:   parcel.New(o.Keys),
 		callers: callers,
 		core:    steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now()),
 		buffer:  make([]byte, 0, maxDatagram),
@@ -244,7 +244,7 @@
 
 // note logs and counts a decision. Packets of known flows are only counted.
 func (n *Inlet) note(a *steer.Action) {
-	if a.Envelope.Kind == hop.Query {
+	if a.Envelope.Kind == parcel.Query {
 		n.metrics.Datagrams.WithLabelValues("query").Inc()
 		return
 	}
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -15,7 +15,7 @@
 	"github.com/coriandershift/coriandershift"
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/protocol/encap"
-	"github.com/coriandershift/coriandershift/internal/protocol/hop"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
 	"github.com/coriandershift/coriandershift/internal/transport/link"
@@ -39,7 +39,7 @@
 	metrics  *metric.Set
 	link     *link.Link
 	packets  coriandershift.Packets
-	codec    *hop.Codec
+	codec    *parcel.Codec
 	conn     *net.UDPConn
 	upstream netip.AddrPort
 	port     uint16
@@ -85,7 +85,7 @@
 		metrics:  o.Metrics,
 		link:     o.Link,
 		packets:  o.Packets,
-		codec:    hop.New(o.Keys),
+		codec:    parcel.New(o.Keys),
 		conn:     conn,
 		upstream: o.Upstream,
 		port:     o.CallerPort,
@@ -211,15 +211,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch e.Kind {
-	case hop.Carry:
+	case parcel.Carry:
 		p, err := t.packets.Parse(payload)
 		if err != nil {
 			t.metrics.Dropped.WithLabelValues("malformed").Inc()
 			return
 		}
 		t.carryOut(t.core.FromBalancer(time.Now(), &e, &p))
-	case hop.Query:
-		questions, err := hop.QuestionsOf(payload)
+	case parcel.Query:
+		questions, err := parcel.QuestionsOf(payload)
 		if err != nil {
 			t.metrics.Dropped.WithLabelValues("malformed").Inc()
 			return
