--- a/internal/coordination/model/model_test.go
+++ b/internal/coordination/model/model_test.go
@@ -308,11 +308,12 @@
 	}
 }
 
-// TestModel plays minutes of virtual time. MODEL_SEEDS and MODEL_MINUTES choose longer runs.
+// TestModel plays minutes of virtual time. MODEL_FIRST, MODEL_SEEDS and
+// MODEL_MINUTES choose other seeds and longer runs.
 func TestModel(t *testing.T) {
-	seeds, minutes := number(t, "MODEL_SEEDS", 6), number(t, "MODEL_MINUTES", 2)
-	for seed := range uint64(seeds) {
-		w := newWorld(t, seed+1)
+	first, seeds, minutes := number(t, "MODEL_FIRST", 1), number(t, "MODEL_SEEDS", 6), number(t, "MODEL_MINUTES", 2)
+	for seed := first; seed < first+seeds; seed++ {
+		w := newWorld(t, uint64(seed))
 		w.run(5 * time.Second)
 		for range minutes * 60 * 10 {
 			for range 4 {
