--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -126,7 +126,8 @@
 		t.log.Info("old announcement ignored", "upstream", a.ID, "born", a.Born, "sequence", a.Sequence)
 		return
 	}
-	if before == nil || !before.SameIncarnation(&a) || before.State != a.State {
+	cold := before != nil && before.WarmUpLeft == 0 && a.WarmUpLeft > 0
+	if cold || before == nil || !before.SameIncarnation(&a) || before.State != a.State {
 		t.log.Info("upstream announced", "upstream", a.ID, "born", a.Born, "state", int(a.State),
 			"slots", a.Slots, "coldFor", a.WarmUpLeft, "version", a.Version)
 	}
