Count only the flows that an upstream holds; bound what a flood leaves behind

Found by reading: flows that had ended or were never completed counted against the upstream's connections for up to a minute, so a surge of short flows could close an agent (TestOnlyFlowsThatTheUpstreamHoldsCountAsConnections); a balancer remembered every opening packet of a flood (TestAFloodOfOpeningPacketsHoldsNoMemory). Both tests failed before.

--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -39,6 +39,9 @@
 	serverFin bool
 	ended     bool
 
+	// connected counts the flow as a connection of the upstream.
+	connected bool
+
 	// packet and envelope are those of the opening packet while it is unanswered.
 	packet   []byte
 	envelope parcel.Envelope
@@ -74,9 +77,25 @@
 	}
 }
 
+// remember adds a flow that the upstream holds.
+func (o *Owner) remember(key flow.Key, e *entry) {
+	e.connected = true
+	o.connections++
+	o.flows[key] = e
+}
+
+// release ends what a flow takes of the upstream. It may stay known for late packets.
+func (o *Owner) release(e *entry) {
+	o.rest(e)
+	if e.connected {
+		e.connected = false
+		o.connections--
+	}
+}
+
 // end forgets a flow.
 func (o *Owner) end(key flow.Key, e *entry) {
-	o.rest(e)
+	o.release(e)
 	delete(o.opening, key)
 	delete(o.flows, key)
 }
@@ -107,7 +126,7 @@
 		e.ended = true
 	}
 	if e.closed() {
-		o.rest(e)
+		o.release(e)
 	}
 }
 
@@ -132,7 +151,7 @@
 		e.ended = true
 	}
 	if e.closed() {
-		o.rest(e)
+		o.release(e)
 	}
 }
 
@@ -215,7 +234,7 @@
 	}
 	for key, e := range o.flows {
 		idle := now.Sub(e.lastAt)
-		if idle > forgetAfter || (e.closed() && idle > closedLinger) {
+		if idle > forgetAfter || (idle > closedLinger && (e.closed() || !e.open)) {
 			o.end(key, e)
 		}
 	}
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -40,7 +40,7 @@
 // open gives an opening packet to the upstream.
 func (o *Owner) open(now time.Time, key flow.Key, sequence uint32, packet []byte, e *parcel.Envelope) {
 	known := &entry{openedAt: now, lastAt: now, sequence: sequence, packet: slices.Clone(packet), envelope: *e}
-	o.flows[key] = known
+	o.remember(key, known)
 	o.opening[key] = known
 	o.begin(known)
 	o.deliver(key, packet, 0, Opened)
@@ -51,7 +51,7 @@
 	if reason := o.barred(key, e); reason != "" {
 		return reason
 	}
-	if len(o.flows) >= maxFlows || (o.limits.Connections > 0 && len(o.flows) >= o.limits.Connections) {
+	if len(o.flows) >= maxFlows || (o.limits.Connections > 0 && o.connections >= o.limits.Connections) {
 		return TableFull
 	}
 	if o.unheard >= silentAfter {
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -26,7 +26,8 @@
 	// forgetAfter is how long a flow is remembered after its last packet.
 	forgetAfter = 60 * time.Second
 
-	// closedLinger is how long a closed flow is remembered for late packets.
+	// closedLinger is how long a flow that is closed, or never was completed, is
+	// remembered for late packets.
 	closedLinger = 5 * time.Second
 
 	// firstAnnouncement is how long an upstream that lives takes to announce itself
@@ -76,7 +77,10 @@
 	flows    map[flow.Key]*entry
 	opening  map[flow.Key]*entry // those in their handshake
 	requests int                 // flows that the upstream works for, or soon will
-	unheard  int                 // opening packets in a row without an answer
+
+	connections int // flows that the upstream holds
+
+	unheard  int // opening packets in a row without an answer
 	backlog  queue.Backlog
 	service  time.Duration // mean time of a request at the upstream
 	offers   offers
--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -473,3 +473,30 @@
 		t.Errorf("got %v for %q", verb, reason)
 	}
 }
+
+// Flows that had ended, or that their callers never completed, counted against the
+// upstream's connections until they were forgotten.
+func TestOnlyFlowsThatTheUpstreamHoldsCountAsConnections(t *testing.T) {
+	o := ready()
+	o.Configure(start, cfg(2, func(c *config.Config) { c.Services[0].Limits.Connections = 2 }))
+	for port := uint16(1); port < 50; port++ {
+		wholeFlow(o, port)
+	}
+	for port := uint16(100); port < 102; port++ {
+		open(t, o, start, port)
+	}
+	if verb, reason := first(o.FromBalancer(start, envelope(endpoint(11)), opening(200))); verb != owner.Forward || reason != owner.TableFull {
+		t.Errorf("got %v for %q", verb, reason)
+	}
+}
+
+func TestAFlowThatWasNeverCompletedIsForgottenSoon(t *testing.T) {
+	o := ready()
+	o.FromBalancer(start, envelope(), opening(1))
+	o.FromUpstream(start, accepted(1))
+	o.Announce(start.Add(9*time.Second), announcement(func(a *flow.Announcement) { a.Sequence = 2 }))
+	o.Tick(start.Add(10 * time.Second))
+	if o.Flows() != 0 {
+		t.Error("it is still known after 10 s")
+	}
+}
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -71,7 +71,7 @@
 	if known == nil {
 		if len(o.flows) < maxFlows {
 			known = &entry{openedAt: now, lastAt: now, open: true, learned: true}
-			o.flows[key] = known
+			o.remember(key, known)
 		}
 		if e, ok := o.offers.taken(key); ok && e.WantNote {
 			o.tell(key, &e, false)
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -178,8 +178,10 @@
 	}
 	first := chosen[0]
 	load, age := first.estimate(now), first.age(now)
-	s.flows[key] = &entry{agent: first.endpoint, at: now, sequence: p.Sequence, opened: true}
-	s.opens[key] = &open{at: now, packet: slices.Clone(p.Raw), envelope: envelope, agent: first.endpoint}
+	if len(s.flows) < maxFlows && len(s.opens) < maxOpens {
+		s.flows[key] = &entry{agent: first.endpoint, at: now, sequence: p.Sequence, opened: true}
+		s.opens[key] = &open{at: now, packet: slices.Clone(p.Raw), envelope: envelope, agent: first.endpoint}
+	}
 	first.sent++
 	s.send(Action{Reason: Placed, Key: key, To: first.endpoint, Envelope: envelope, Packet: p.Raw, Load: load, LoadAge: age})
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -36,6 +36,10 @@
 	// maxFlows bounds the cache; about 100 bytes each.
 	maxFlows = 65536
 
+	// maxOpens bounds the opening packets that wait for a note. Beyond it, as in a
+	// flood, they are sent and not remembered.
+	maxOpens = 8192
+
 	// sweepEvery is the time between two passes over the cache.
 	sweepEvery = time.Second
 
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -576,3 +576,17 @@
 		})
 	}
 }
+
+func TestAFloodOfOpeningPacketsHoldsNoMemory(t *testing.T) {
+	s := settled(agents("svc", 10, 11)...)
+	for i := range 200000 {
+		p := opening(uint16(i))
+		p.Source.IP[3] = byte(i >> 16)
+		if got := s.FromCaller(start, p); len(got) != 1 || got[0].Verb != steer.Send {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	if s.Flows() > 10000 {
+		t.Errorf("%d flows are cached that no agent has noted", s.Flows())
+	}
+}
