Ask for the census until the store answers

Found by trying a balancer without a store: it asked once, and would have been unsure of its agents for ten seconds after a start during an outage.

--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,9 @@
 
 	// sweepEvery is the time between two ticks without anything due.
 	sweepEvery = time.Second
+
+	// censusPause is the time between two attempts to read the census.
+	censusPause = time.Second
 )
 
 // Inlet is one balancer. It is safe for concurrent use.
@@ -178,21 +182,35 @@
 	n.metrics.Members.Set(float64(len(members)))
 }
 
-// expect learns which members were known before this process started.
+// expect learns which members were known before this process started. Without
+// that it takes long until it is sure of its agents, so it asks until the store answers.
 func (n *Inlet) expect(ctx context.Context) {
-	members, err := n.link.Census(ctx)
-	if err != nil {
+	for ctx.Err() == nil {
+		members, err := n.link.Census(ctx)
+		if err == nil {
+			n.expected(&members)
+			return
+		}
 		n.log.Info("no census", "error", err)
-		return
+		if errors.Is(err, coriandershift.ErrNotFound) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(censusPause):
+		}
 	}
-	expected := make([]flow.Endpoint, 0, len(members.Balancers)+len(members.Agents))
-	for _, a := range append(members.Balancers, members.Agents...) {
-		expected = append(expected, flow.EndpointOf(a))
+}
+
+func (n *Inlet) expected(members *link.Census) {
+	var endpoints []flow.Endpoint
+	for _, a := range slices.Concat(members.Balancers, members.Agents) {
+		endpoints = append(endpoints, flow.EndpointOf(a))
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.core.Expect(expected)
-	n.log.Info("census read", "members", len(expected))
+	n.core.Expect(endpoints)
+	n.log.Info("census read", "members", len(endpoints))
 }
 
 func (n *Inlet) tick(ctx context.Context) {
