--- a/cmd/coriandershift-forward/daemon.go
+++ b/cmd/coriandershift-forward/daemon.go
@@ -39,15 +39,20 @@
 	metrics  *metric.Set
 	store    *platform.Store
 	link     *link.Link
+	hangups  chan os.Signal
 }
 
 func newDaemon(args settingsArgs, self func(*setup.Forward) roster.Member) (*daemon, error) {
+	// A signal that comes while the process starts must not end it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+
 	settings, err := setup.LoadForward(args.Settings)
 	if err != nil {
 		return nil, err
 	}
 
-	d := &daemon{settings: settings, logs: logbuf.New(os.Stdout), metrics: metric.New()}
+	d := &daemon{settings: settings, logs: logbuf.New(os.Stdout), metrics: metric.New(), hangups: hangups}
 	d.log = newLogger(settings, d.logs)
 	d.store = platform.NewStore(settings.Store, platform.WithObserver(d.metrics.ObserveStoreCall))
 
@@ -103,13 +108,11 @@
 // reload takes settings that can change in a running process into use whenever
 // they are said to have changed. All others are said to need a restart.
 func (d *daemon) reload(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-d.hangups:
 			d.reloadOnce()
 		}
 	}
