Use one mixing function and one way to log errors; drop what nothing reads

Found by reading the whole change: package rank had a copy of route's finalizer, both daemons the same function that shortens errors, and steer a reason and a hash that nothing used. Behaviour stays.

--- a/cmd/coriandershift-forward/daemon.go
+++ b/cmd/coriandershift-forward/daemon.go
@@ -93,18 +93,10 @@
 	if s.LogLevel != "" {
 		_ = level.UnmarshalText([]byte(s.LogLevel)) // the settings were checked
 	}
-	handler := slog.NewTextHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors})
+	handler := slog.NewTextHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: logbuf.ShortErrors})
 	return slog.New(handler).With("name", s.Name)
 }
 
-// shortErrors keeps the call stacks that errors carry out of the log.
-func shortErrors(_ []string, a slog.Attr) slog.Attr {
-	if err, ok := a.Value.Any().(error); ok {
-		return slog.String(a.Key, err.Error())
-	}
-	return a
-}
-
 // reload takes settings that can change in a running process into use whenever
 // they are said to have changed. All others are said to need a restart.
 func (d *daemon) reload(ctx context.Context) {
--- a/cmd/coriandershiftd/daemon.go
+++ b/cmd/coriandershiftd/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/coriandershift/coriandershift/internal/state/setup"
 	"github.com/coriandershift/coriandershift/internal/transport/admin"
 	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/logbuf"
 	"github.com/coriandershift/coriandershift/internal/transport/metric"
 	"github.com/coriandershift/coriandershift/internal/transport/store"
 )
@@ -81,18 +82,10 @@
 	if s.LogLevel != "" {
 		_ = level.UnmarshalText([]byte(s.LogLevel)) // the settings were checked
 	}
-	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors})
+	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level, ReplaceAttr: logbuf.ShortErrors})
 	return slog.New(handler).With("name", s.Name, "domain", s.Domain)
 }
 
-// shortErrors keeps the call stacks that errors carry out of the log.
-func shortErrors(_ []string, a slog.Attr) slog.Attr {
-	if err, ok := a.Value.Any().(error); ok {
-		return slog.String(a.Key, err.Error())
-	}
-	return a
-}
-
 // serveMetrics serves /metrics, and /healthz for the fabric, until the process ends.
 func (d *daemon) serveMetrics() {
 	mux := http.NewServeMux()
--- a/internal/coordination/rank/rank.go
+++ b/internal/coordination/rank/rank.go
@@ -17,7 +17,7 @@
 func Top(hash uint64, candidates []Candidate, order []int, scores []uint64) int {
 	count := 0
 	for _, c := range candidates {
-		score := mix(hash ^ c.Seed)
+		score := Mix(hash ^ c.Seed)
 		if count == len(order) && score <= scores[count-1] {
 			continue
 		}
@@ -33,8 +33,8 @@
 	return count
 }
 
-// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
-func mix(x uint64) uint64 {
+// Mix spreads the bits of x: the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/internal/coordination/route/router.go
+++ b/internal/coordination/route/router.go
@@ -7,6 +7,7 @@
 
 	"github.com/dchest/siphash"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/rank"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/connid"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
@@ -181,6 +182,6 @@
 }
 
 func score(hash uint64, c *candidate) float64 {
-	uniform := (float64(mix(hash^c.seed)>>11) + 0.5) / (1 << 53)
+	uniform := (float64(rank.Mix(hash^c.seed)>>11) + 0.5) / (1 << 53)
 	return -c.weight / math.Log(uniform)
 }
--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -122,15 +122,6 @@
 	return candidate{address: m.Address, seed: roster.Hash(m.Address), weight: float64(m.Weight)}
 }
 
-func mix(x uint64) uint64 {
-	// The finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func keyWords(key []byte) (uint64, uint64) {
 	return binary.LittleEndian.Uint64(key), binary.LittleEndian.Uint64(key[8:])
 }
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -57,6 +57,5 @@
 	NotFoundDead      Reason = "notFoundAgentDied"
 	NotFoundUnsettled Reason = "notFoundAgentsUnknown"
 	NotFoundSilent    Reason = "notFoundAgentSilent"
-	RouteUnsure       Reason = "noRouteConfigUnsure"
 	Malformed         Reason = "malformed"
 )
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -25,7 +25,6 @@
 
 // service is the agents of one service.
 type service struct {
-	hash   uint32
 	agents []*agent
 
 	// ranked are all agents; eligible are those that take new flows.
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -164,7 +164,7 @@
 
 		svc := s.services[m.Service]
 		if svc == nil {
-			svc = &service{hash: config.ServiceHash(m.Service)}
+			svc = &service{}
 			s.services[m.Service] = svc
 		}
 		svc.agents = append(svc.agents, a)
