Write log lines in parts that a pipe takes whole

The buffer gave 10 to 26 KB to one write and the platform's collector keeps the first 8 KB of a write, so lines were cut and lost just when most was to be explained.

--- a/internal/transport/logbuf/logbuf.go
+++ b/internal/transport/logbuf/logbuf.go
@@ -4,6 +4,7 @@
 package logbuf
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -16,6 +17,10 @@
 
 	// flushEvery bounds how long a line waits. Fewer writes cost less.
 	flushEvery = 250 * time.Millisecond
+
+	// maxWrite is the most bytes given to one write, unless a line is longer: what
+	// a pipe takes whole (PIPE_BUF). Collectors cut longer writes off.
+	maxWrite = 4096
 )
 
 // Buffer is an io.Writer of whole lines. It is safe for concurrent use.
@@ -80,12 +85,33 @@
 		lines = fmt.Appendf(lines, "time=%s level=WARN msg=\"log lines dropped\" count=%d\n",
 			time.Now().UTC().Format(time.RFC3339Nano), dropped)
 	}
-	if len(lines) > 0 {
-		_, _ = b.out.Write(lines) // there is nowhere left to tell of a failure
-	}
+	b.writeOut(lines)
 	b.spare = lines
 }
 
+// writeOut writes whole lines, maxWrite bytes at a time.
+func (b *Buffer) writeOut(lines []byte) {
+	for len(lines) > 0 {
+		size := wholeLines(lines, maxWrite)
+		_, _ = b.out.Write(lines[:size]) // there is nowhere left to tell of a failure
+		lines = lines[size:]
+	}
+}
+
+// wholeLines returns how many bytes of lines fit into most, at least one line.
+func wholeLines(lines []byte, most int) int {
+	if len(lines) <= most {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:most], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 func (b *Buffer) run() {
 	for range b.wake {
 		time.Sleep(flushEvery)
--- a/internal/transport/logbuf/logbuf_test.go
+++ b/internal/transport/logbuf/logbuf_test.go
@@ -59,3 +59,43 @@
 		t.Error("the dropped lines are not mentioned")
 	}
 }
+
+// parts records each write.
+type parts struct{ written []string }
+
+func (p *parts) Write(b []byte) (int, error) {
+	p.written = append(p.written, string(b))
+	return len(b), nil
+}
+
+func TestWritesAreWholeLinesThatAPipeTakesWhole(t *testing.T) {
+	const pipeSize = 4096
+	var out parts
+	b := logbuf.New(&out)
+	line := strings.Repeat("x", 299) + "\n"
+	long := strings.Repeat("y", 2*pipeSize) + "\n"
+	var want string
+	for i := range 60 {
+		text := line
+		if i == 30 {
+			text = long
+		}
+		want += text
+		if _, err := b.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.Flush()
+
+	if got := strings.Join(out.written, ""); got != want {
+		t.Error("lines were lost or reordered")
+	}
+	for i, written := range out.written {
+		if !strings.HasSuffix(written, "\n") {
+			t.Errorf("write %d ends within a line", i)
+		}
+		if len(written) > pipeSize && written != long {
+			t.Errorf("write %d has %d bytes", i, len(written))
+		}
+	}
+}
