Refuse within a quarter of the objective and send straight to the shortest wait

Cause: at 1.3 of capacity callers waited up to 0.8 s at agents although their objective had passed; a just started agent dropped what it could not serve for 2 s, so callers waited for their own 1.4 s; and each flow went along four full agents, up to 22 messages a request. Changed: package pick orders agents by expected wait (load told with what waits, and how long requests take there) and sends a flow straight to the shortest when all are full; an agent lets a flow wait a quarter of its route's objective, evicts the oldest late one for a younger, refuses at once from its start on, and tells the balancer of a drop; copies of an opening packet count their age. What binds after an outage: callers' later tries look like new ones, and cold upstreams take 1.6 times as long.

--- a/internal/coordination/model/world_test.go
+++ b/internal/coordination/model/world_test.go
@@ -222,7 +222,7 @@
 	for _, a := range w.agents {
 		members = append(members, a.record)
 	}
-	b.core.Members(w.now, b.cfg, members)
+	b.core.Change(w.now, members)
 }
 
 func (w *world) configureBalancer(b *balancer, cfg *config.Config) {
--- a/internal/coordination/owner/action.go
+++ b/internal/coordination/owner/action.go
@@ -68,6 +68,7 @@
 	Full         Reason = "full"
 	Queued       Reason = "queued"
 	Expired      Reason = "expired"
+	Evicted      Reason = "evictedForYounger"
 	Overloaded   Reason = "overloaded"
 	Bounced      Reason = "bounced"
 	NoAnswer     Reason = "noAnswer"
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -113,6 +113,9 @@
 
 	if e.Repeated || o.unsure(now, reason) {
 		o.actions = append(o.actions, Action{Verb: Drop, Reason: reason, Key: key, Load: o.requests})
+		if reason == Overloaded {
+			o.tell(key, e, true) // asking others would only add to the load
+		}
 		return
 	}
 	o.resetCaller(key, 0, reason)
@@ -127,6 +130,8 @@
 	switch reason {
 	case NoUpstream, NoAnswer, Silent, WrongService, RouteDropped:
 		return true
+	case Overloaded:
+		return false
 	}
 	return now.Sub(o.started) < startUp
 }
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -135,8 +135,9 @@
 			Balancer: e.Balancer,
 			Agent:    o.settings.Self,
 			Refused:  refused,
-			Load:     uint16(min(o.requests, 1<<16-1)),
+			Load:     uint16(min(o.requests+o.backlog.Len(), 1<<16-1)),
 			Slots:    uint16(min(o.slots(), 1<<16-1)),
+			Took:     uint16(min(o.service.Milliseconds(), 1<<16-1)),
 		},
 	})
 }
--- a/internal/coordination/owner/room.go
+++ b/internal/coordination/owner/room.go
@@ -15,9 +15,13 @@
 	// about 8 ms of the 40 to 80 ms that a request takes.
 	openingShare = 4
 
-	// maxWait bounds the time that a flow is expected to wait for room. Callers
-	// give an opening packet up after 1.4 s.
-	maxWait = 800 * time.Millisecond
+	// waitShare is the part of a route's objective that a flow may be expected to
+	// wait. With more, under overload, callers are late who could have been refused
+	// at once and served in time on their next try.
+	waitShare = 4
+
+	// usualWait is expected at most where a route has no objective.
+	usualWait = 100 * time.Millisecond
 
 	// callerPatience is how long a flow may wait in fact.
 	callerPatience = 1200 * time.Millisecond
@@ -69,31 +73,51 @@
 	return uint16(min(100*(o.requests+o.backlog.Len())/o.slots(), 1<<16-1))
 }
 
-// wait puts a flow into the backlog, unless its turn would come too late.
+// wait puts a flow into the backlog, if need be in the place of one that cannot be
+// answered in time any more, or refuses it if its own turn would come too late.
 func (o *Owner) wait(now time.Time, key flow.Key, e *parcel.Envelope, p *flow.Packet) {
-	priority, hurry := o.urgency(key)
-	expected := o.meanService() * time.Duration(o.backlog.Ahead(priority)+1) / time.Duration(o.slots())
-	if expected > maxWait {
-		o.handOn(now, key, e, p.Raw, Overloaded)
-		return
+	priority, objective := o.urgency(key)
+	if o.expectedWait(priority) > waitBound(objective) {
+		evicted, ok := o.backlog.Evict(now, priority)
+		if !ok {
+			o.handOn(now, key, e, p.Raw, Overloaded)
+			return
+		}
+		o.resetCaller(evicted.Key, 0, Evicted)
+		o.tell(evicted.Key, &evicted.Envelope, true)
 	}
 
+	since := now.Add(-p.Age)
+	hurry := max(0, objective-2*o.meanService())
 	o.backlog.Add(queue.Waiting{
-		Key: key, Priority: priority, Hurry: now.Add(hurry), Until: now.Add(callerPatience),
+		Key: key, Priority: priority, Since: since, Hurry: since.Add(hurry), Until: since.Add(callerPatience),
 		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
 	})
 	o.actions = append(o.actions, Action{Verb: Hold, Reason: Queued, Key: key, Load: o.requests})
 	o.tell(key, e, false)
 }
 
-// urgency returns the priority of a flow's requests, and how long it may wait
-// so that its answer still comes within the route's objective.
+// expectedWait returns how long a new flow would wait, were all served in order.
+func (o *Owner) expectedWait(priority int) time.Duration {
+	return o.meanService() * time.Duration(o.backlog.Ahead(priority)+1) / time.Duration(o.slots())
+}
+
+// waitBound returns how long a flow may be expected to wait.
+func waitBound(objective time.Duration) time.Duration {
+	if objective == 0 {
+		return usualWait
+	}
+	return objective / waitShare
+}
+
+// urgency returns the priority of a flow's requests, and within what time they
+// are to be answered.
 func (o *Owner) urgency(key flow.Key) (int, time.Duration) {
 	route := o.routes[key.Service]
 	if route == nil {
 		return 0, 0
 	}
-	return route.Priority, max(0, route.Objective.Duration()-2*o.meanService())
+	return route.Priority, route.Objective.Duration()
 }
 
 func (o *Owner) meanService() time.Duration {
--- a/internal/coordination/owner/room_test.go
+++ b/internal/coordination/owner/room_test.go
@@ -145,3 +145,69 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+func TestAFlowWaitsAtMostAQuarterOfItsObjective(t *testing.T) {
+	o := busy(t)
+	held := 0
+	for port := uint16(100); port < 110; port++ {
+		if verb, _ := first(o.FromBalancer(start, envelope(), opening(port))); verb == owner.Hold {
+			held++
+		}
+	}
+	// Requests take 50 ms until one was seen, the objective is 200 ms, two run at once.
+	if held != 2 {
+		t.Errorf("%d flows wait, want 2", held)
+	}
+}
+
+func TestAFlowThatIsLateAnywayMakesRoomForAYoungerOne(t *testing.T) {
+	o := busy(t)
+	old := opening(100)
+	old.Age = 600 * time.Millisecond
+	o.FromBalancer(start, envelope(), old)
+	o.FromBalancer(start, envelope(), opening(101))
+
+	got := o.FromBalancer(start, envelope(), opening(102))
+	if verb, reason := first(got); verb != owner.Reset || reason != owner.Evicted || got[0].Key.Caller.Port != 100 {
+		t.Errorf("got %+v", got)
+	}
+	if last := got[len(got)-2]; last.Verb != owner.Hold || last.Key.Caller.Port != 102 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Agents that had just started left callers waiting for a second and more that
+// they could not serve.
+func TestAnAgentThatJustStartedRefusesWhenItIsOverloaded(t *testing.T) {
+	o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+	o.Configure(start, cfg(1, nil))
+	o.Announce(start, announcement(nil))
+	for port := uint16(1); port <= 3; port++ {
+		open(t, o, start, port)
+	}
+	var verb owner.Verb
+	var reason owner.Reason
+	for port := uint16(100); port < 110; port++ {
+		verb, reason = first(o.FromBalancer(start, envelope(), opening(port)))
+	}
+	if verb != owner.Reset || reason != owner.Overloaded {
+		t.Errorf("got %v for %q", verb, reason)
+	}
+}
+
+// Balancers went on to the next agent, and the next, while all were overloaded.
+func TestABalancerHearsOfAnOverloadedAgent(t *testing.T) {
+	o := busy(t)
+	for port := uint16(100); port < 110; port++ {
+		o.FromBalancer(start, envelope(), opening(port))
+	}
+	e := envelope()
+	e.Repeated = true
+	got := o.FromBalancer(start, e, opening(1000))
+	if len(got) != 2 || got[0].Verb != owner.Drop || got[1].Verb != owner.Tell || !got[1].Envelope.Refused {
+		t.Errorf("got %+v", got)
+	}
+	if load := got[1].Envelope.Load; load != 5 {
+		t.Errorf("load %d, want 3 requests and 2 flows that wait", load)
+	}
+}
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -43,6 +43,7 @@
 // The reasons.
 const (
 	Placed     Reason = "placed"
+	PlacedFull Reason = "placedAllFull"
 	PlacedNext Reason = "placedNextAfterSilence"
 	Lookup     Reason = "lookup"
 	Offered    Reason = "offered"
--- /dev/null
+++ b/internal/coordination/steer/member_test.go
@@ -0,0 +1,125 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/steer"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+// report tells a balancer the load of an agent.
+func report(s *steer.Steer, now time.Time, agent byte, load, slots uint16) {
+	e, payload := note(opening(60000+uint16(agent)), endpoint(agent))
+	e.Load, e.Slots = load, slots
+	s.FromAgent(now, e, payload, parse)
+}
+
+func TestAFlowGoesStraightToTheShortestWaitWhenAllAreFull(t *testing.T) {
+	s := settled(agents("svc", 10, 11, 12, 13)...)
+	for agent, load := range map[byte]uint16{10: 7, 11: 6, 12: 9, 13: 8} {
+		report(s, start, agent, load, 5)
+	}
+	got := s.FromCaller(start, opening(1))
+	if len(got) != 1 || got[0].Reason != steer.PlacedFull || got[0].To != endpoint(11) {
+		t.Fatalf("got %+v", got)
+	}
+	if e := got[0].Envelope; !e.Last || e.Count != 0 {
+		t.Errorf("got %+v", e)
+	}
+}
+
+func TestAReportThatIsAMomentOldDoesNotMakeAnAgentFull(t *testing.T) {
+	s := settled(agents("svc", 10, 11)...)
+	report(s, start, 10, 7, 5)
+	report(s, start, 11, 6, 5)
+	got := s.FromCaller(start.Add(300*time.Millisecond), opening(1))
+	if len(got) != 1 || got[0].Reason != steer.Placed || got[0].Envelope.Count != 1 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestChangesOfAgentsOneByOne(t *testing.T) {
+	change := func(last byte, edit func(*roster.Member)) roster.Member {
+		m := agents("svc", last)[0]
+		edit(&m)
+		return m
+	}
+	tests := map[string]struct {
+		change roster.Member
+		want   int // agents of any service that take new flows, of two
+	}{
+		"one more":                {agents("svc", 12)[0], 3},
+		"one that is known":       {agents("svc", 10)[0], 2},
+		"one leaves":              {change(10, func(m *roster.Member) { m.State = roster.Leaving }), 1},
+		"one dies":                {change(10, func(m *roster.Member) { m.State = roster.Dead }), 1},
+		"one takes nothing":       {change(10, func(m *roster.Member) { m.Weight = 0 }), 1},
+		"one serves another":      {change(10, func(m *roster.Member) { m.Service = "other" }), 2},
+		"one started anew":        {change(10, func(m *roster.Member) { m.Incarnation++ }), 2},
+		"a balancer is no agent":  {change(12, func(m *roster.Member) { m.Role = roster.Balancer }), 2},
+		"one of another service":  {agents("other", 12)[0], 3},
+		"another service, leaves": {change(12, func(m *roster.Member) { m.Service, m.State = "other", roster.Leaving }), 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := settled(agents("svc", 10, 11)...)
+			s.Change(start, []roster.Member{test.change})
+			if got := s.Agents(); got != test.want {
+				t.Errorf("%d take new flows, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestAnAgentThatMovedToAnotherServiceGetsNoFlowsOfTheOld(t *testing.T) {
+	s := settled(agents("svc", 10, 11)...)
+	s.Change(start, agents("other", 10))
+	for port := range uint16(20) {
+		got := s.FromCaller(start, opening(port))
+		if len(got) != 1 || got[0].To != endpoint(11) || got[0].Envelope.Count != 0 {
+			t.Fatalf("port %d: got %+v", port, got)
+		}
+	}
+}
+
+func TestADeadAgentIsForgottenWhenNoFlowOfItsTimeLives(t *testing.T) {
+	dead := agents("svc", 10)[0]
+	dead.State = roster.Dead
+	s := settled(dead)
+	asked := func(now time.Time) int {
+		count := 0
+		for _, a := range s.FromCaller(now, data(1)) {
+			if a.Verb == steer.Send {
+				count++
+			}
+		}
+		return count
+	}
+	if asked(start.Add(time.Second)) == 0 {
+		t.Error("a living flow is not looked for at an agent that died a moment ago")
+	}
+	s.Tick(start.Add(2 * time.Minute))
+	if asked(start.Add(2*time.Minute)) != 0 {
+		t.Error("the agent is still known after two minutes")
+	}
+}
+
+// The due time was found by looking at all opening packets for each packet.
+func TestDueIsWhenTheOldestOpeningPacketIsToBeTriedAgain(t *testing.T) {
+	s := settled(agents("svc", 10, 11)...)
+	if _, waiting := s.Due(); waiting {
+		t.Fatal("something is due before any flow")
+	}
+	s.FromCaller(start, opening(1))
+	s.FromCaller(start.Add(20*time.Millisecond), opening(2))
+	first, _ := s.Due()
+
+	e, payload := note(opening(1), flow.Endpoint{})
+	s.FromAgent(start.Add(30*time.Millisecond), e, payload, parse)
+	s.Tick(first)
+	second, waiting := s.Due()
+	if !waiting || second.Sub(first) != 20*time.Millisecond {
+		t.Errorf("due %v after the first, want 20 ms", second.Sub(first))
+	}
+}
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -106,9 +106,9 @@
 // chain sends a packet along the first ranks of its flow. Only the packet that a
 // search began with asks for a note; others of the flow go the same way.
 func (s *Steer) chain(now time.Time, key flow.Key, packet []byte, route *config.Route, wantNote bool) {
-	agents, dead := s.holders(now, route, key.Hash())
+	agents := s.likeliest(now, route, key.Hash())
 	if len(agents) == 0 {
-		agents = dead
+		_, agents = s.holders(now, route, key.Hash())
 	}
 	if len(agents) == 0 {
 		s.out = append(s.out, Action{Verb: Drop, Reason: NoUpstream, Key: key})
--- a/internal/coordination/steer/settle.go
+++ b/internal/coordination/steer/settle.go
@@ -113,6 +113,27 @@
 	return living, dead
 }
 
+// likeliest returns the living agents that are asked for a flow first.
+func (s *Steer) likeliest(now time.Time, route *config.Route, hash uint64) []*agent {
+	var order [chainLength]int
+	var scores [chainLength]uint64
+	agents := make([]*agent, 0, chainLength)
+	for _, name := range s.servicesOf(now, route, hash) {
+		svc := s.services[name]
+		if svc == nil {
+			continue
+		}
+		count := rank.Top(hash, svc.living, order[:chainLength-len(agents)], scores[:])
+		for _, i := range order[:count] {
+			agents = append(agents, svc.agents[i])
+		}
+		if len(agents) == chainLength {
+			break
+		}
+	}
+	return agents
+}
+
 // servicesOf returns the services that may have a flow of a route: the one that
 // new flows of this hash go to first. A balancer does not know where routes led
 // before its start, so for as long as flows of that time may live it takes all.
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -7,10 +7,10 @@
 import (
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/pick"
 	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
-	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
 const (
@@ -29,9 +29,9 @@
 	// lack processor time, so that notes may wait unread.
 	lateTick = 20 * time.Millisecond
 
-	// choices is among how many of a flow's ranks the least loaded agent is
-	// chosen. A flow is found again within the ranks an envelope can name.
-	choices = 4
+	// maxChoices bounds among how many of a flow's ranks its agent is chosen. A
+	// flow is found again within the ranks an envelope can name.
+	maxChoices = 4
 
 	// maxFlows bounds the cache; about 100 bytes each.
 	maxFlows = 65536
@@ -71,7 +71,9 @@
 	self    flow.Endpoint
 	domain  string
 	started time.Time
+	rule    pick.Rule
 
+	cfg      *config.Config
 	revision uint64
 	idle     time.Duration
 	routes   map[flow.Endpoint]*config.Route
@@ -85,6 +87,9 @@
 	flows map[flow.Key]*entry
 	opens map[flow.Key]*open
 
+	// oldestOpen is not after the time of any of opens.
+	oldestOpen time.Time
+
 	noted time.Duration // usual time to a note
 
 	// searches are the flows that were looked for and not found yet.
@@ -106,8 +111,10 @@
 }
 
 // New returns a Steer for the balancer at an address and failure domain.
-func New(self flow.Endpoint, domain string, now time.Time) *Steer {
-	return &Steer{
+func New(self flow.Endpoint, domain string, now time.Time, options ...Option) *Steer {
+	s := &Steer{
+		rule:      pick.Usual,
+		cfg:       &config.Config{},
 		started:   now,
 		self:      self,
 		domain:    domain,
@@ -122,6 +129,21 @@
 		queries:   map[uint16]*query{},
 		former:    map[flow.Endpoint][]string{},
 	}
+	for _, apply := range options {
+		apply(s)
+	}
+	return s
+}
+
+// Option changes a new Steer.
+type Option func(*Steer)
+
+// Placing sets how agents are chosen for new flows. Rule.Choices is at most 4.
+func Placing(rule pick.Rule) Option {
+	return func(s *Steer) {
+		rule.Choices = min(rule.Choices, maxChoices)
+		s.rule = rule
+	}
 }
 
 // Configure takes a newer configuration into use.
@@ -136,42 +158,9 @@
 	}
 	s.remember(routes)
 	s.routes = routes
+	s.cfg = cfg
 	for _, svc := range s.services {
-		svc.configure(cfg)
-	}
-}
-
-// Members takes the whole list of members into use.
-func (s *Steer) Members(now time.Time, cfg *config.Config, members []roster.Member) {
-	s.members++
-	s.services = map[string]*service{}
-	known := map[flow.Endpoint]*agent{}
-	for i := range members {
-		m := &members[i]
-		endpoint := flow.EndpointOf(m.Address)
-		if m.Role != roster.Agent {
-			if _, seen := s.balancers[endpoint]; !seen {
-				s.balancers[endpoint] = endpoint != s.self && m.State == roster.Alive && m.Weight > 0
-			}
-			continue
-		}
-		a := s.agents[endpoint]
-		if a == nil || a.member.Incarnation != m.Incarnation {
-			a = &agent{endpoint: endpoint}
-		}
-		a.update(now, m)
-		known[endpoint] = a
-
-		svc := s.services[m.Service]
-		if svc == nil {
-			svc = &service{}
-			s.services[m.Service] = svc
-		}
-		svc.agents = append(svc.agents, a)
-	}
-	s.agents = known
-	for _, svc := range s.services {
-		svc.configure(cfg)
+		svc.arrange(cfg)
 	}
 }
 
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -86,7 +86,7 @@
 func settled(members ...roster.Member) *steer.Steer {
 	s := steer.New(self, "a", start.Add(-time.Minute))
 	s.Configure(cfg(1, "svc"))
-	s.Members(start, cfg(1, "svc"), members)
+	s.Change(start, members)
 	s.Tick(start)
 	return s
 }
@@ -325,7 +325,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := steer.New(self, "a", start.Add(test.started))
 			s.Configure(cfg(1, "svc"))
-			s.Members(start, cfg(1, "svc"), append(agents("svc", 10, 11), test.last))
+			s.Change(start, append(agents("svc", 10, 11), test.last))
 			s.Tick(start)
 
 			var got []steer.Action
@@ -384,7 +384,7 @@
 	s := settled(append(agents("svc", 10), agents("other", 20)...)...)
 	moved := cfg(2, "other", "svc")
 	s.Configure(moved)
-	s.Members(start, moved, append(agents("svc", 10), agents("other", 20)...))
+	s.Change(start, append(agents("svc", 10), agents("other", 20)...))
 	got := s.FromCaller(start, data(1))
 	if len(got) != 1 || got[0].To != endpoint(20) || got[0].Envelope.Ranks[0] != endpoint(10) {
 		t.Errorf("got %+v", got)
@@ -407,7 +407,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := steer.New(self, "a", start.Add(-test.age))
 			s.Configure(cfg(1, "svc", "other"))
-			s.Members(start, cfg(1, "svc", "other"), append(agents("svc", 10), agents("other", 20)...))
+			s.Change(start, append(agents("svc", 10), agents("other", 20)...))
 			s.Tick(start)
 			s.FromCaller(start, data(1))
 			if got := s.Tick(start.Add(150 * time.Millisecond)); len(got) != test.want {
@@ -448,7 +448,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := steer.New(self, "a", start)
 			s.Configure(cfg(1, "svc"))
-			s.Members(start, cfg(1, "svc"), append(agents("svc", 10), test.others...))
+			s.Change(start, append(agents("svc", 10), test.others...))
 			s.Expect(test.expected)
 			s.Tick(start.Add(test.after))
 			if got := s.Settled(); got != test.want {
@@ -461,7 +461,7 @@
 func TestSettlingAnswersCallersThatWaited(t *testing.T) {
 	s := steer.New(self, "a", start)
 	s.Configure(cfg(1, "svc"))
-	s.Members(start, cfg(1, "svc"), agents("svc", 10))
+	s.Change(start, agents("svc", 10))
 	questions := query(t, s, start, s.FromCaller(start, data(1))[0])
 	if diff := cmp.Diff([]steer.Reason{steer.NotFoundUnsettled}, kinds(reply(s, start, questions[0], parcel.NotHeld))); diff != "" {
 		t.Fatal(diff)
@@ -568,7 +568,7 @@
 				t.Error("ready without a configuration")
 			}
 			s.Configure(cfg(1, "svc"))
-			s.Members(start, cfg(1, "svc"), append(agents("svc", 10), test.others...))
+			s.Change(start, append(agents("svc", 10), test.others...))
 			s.Tick(start.Add(test.age))
 			if got := s.Ready(); got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -10,14 +10,21 @@
 	if s.searching() {
 		due = s.lastTick.Add(queryEvery)
 	}
-	for _, o := range s.opens {
-		if at := o.at.Add(s.openTimeout()); due.IsZero() || at.Before(due) {
+	if len(s.opens) > 0 {
+		if at := s.oldestOpen.Add(s.openTimeout()); due.IsZero() || at.Before(due) {
 			due = at
 		}
 	}
 	return due, !due.IsZero()
 }
 
+// noteOpen keeps oldestOpen before an opening packet that is sent now.
+func (s *Steer) noteOpen(now time.Time) {
+	if s.oldestOpen.IsZero() {
+		s.oldestOpen = now
+	}
+}
+
 // Tick tries the next agent for opening packets that were not noted in time,
 // and forgets flows that have ended.
 func (s *Steer) Tick(now time.Time) []Action {
@@ -26,17 +33,25 @@
 	s.lastTick = now
 	s.settle(now)
 	s.ask(now)
+	s.retryOpens(now, late)
+	s.sweep(now)
+	return s.out
+}
+
+// retryOpens tries the next agent for opening packets that were not noted in
+// time. A late tick gives them as much longer.
+func (s *Steer) retryOpens(now time.Time, late time.Duration) {
+	s.oldestOpen = time.Time{}
 	for key, o := range s.opens {
 		if late > 0 {
 			o.at = o.at.Add(late)
-			continue
-		}
-		if now.Sub(o.at) >= s.openTimeout() {
+		} else if now.Sub(o.at) >= s.openTimeout() {
 			s.retry(now, key, o)
 		}
+		if s.oldestOpen.IsZero() || o.at.Before(s.oldestOpen) {
+			s.oldestOpen = o.at
+		}
 	}
-	s.sweep(now)
-	return s.out
 }
 
 // late returns by how much this tick is late, 0 if it came in time.
@@ -57,6 +72,7 @@
 		return
 	}
 	s.lastSweep = now
+	s.forgetAgents(now)
 	for key, f := range s.searches {
 		if now.Sub(f.at) > searchTTL {
 			delete(s.searches, key)
--- a/internal/protocol/parcel/parcel.go
+++ b/internal/protocol/parcel/parcel.go
@@ -34,7 +34,7 @@
 const MaxRanks = 11
 
 const (
-	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 6 + 2 + 2 + 2 + 2
+	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 6 + 2 + 2 + 2 + 2 + 2
 	rankLength  = 6
 	tagLength   = 8
 
@@ -89,9 +89,13 @@
 	// Search tells the questions of a balancer apart; it comes back unchanged.
 	Search uint16
 
-	// Load and Slots are the agent's, in requests.
+	// Load and Slots are the agent's, in requests: those that its upstream has or
+	// that wait for it, and those that run at once.
 	Load, Slots uint16
 
+	// Took is the mean time of a request at the agent's upstream, in milliseconds.
+	Took uint16
+
 	// Best is the agent with the shortest backlog, BestLoad, of those that were
 	// full. Last says that the packet was sent there to wait.
 	Best     flow.Endpoint
@@ -140,6 +144,7 @@
 	dst = binary.BigEndian.AppendUint16(dst, e.Search)
 	dst = appendEndpoint(dst, e.Best)
 	dst = binary.BigEndian.AppendUint16(dst, e.BestLoad)
+	dst = binary.BigEndian.AppendUint16(dst, e.Took)
 	for _, rank := range e.Ranks[:e.Count] {
 		dst = appendEndpoint(dst, rank)
 	}
@@ -192,6 +197,7 @@
 	e.Search = binary.BigEndian.Uint16(datagram[32:])
 	e.Best = endpointAt(datagram[34:])
 	e.BestLoad = binary.BigEndian.Uint16(datagram[40:])
+	e.Took = binary.BigEndian.Uint16(datagram[42:])
 	for i := range e.Count {
 		e.Ranks[i] = endpointAt(datagram[fixedLength+i*rankLength:])
 	}
--- a/internal/state/flow/flow.go
+++ b/internal/state/flow/flow.go
@@ -4,8 +4,9 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"net/netip"
+	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -38,7 +39,26 @@
 
 // String returns the usual text form.
 func (e Endpoint) String() string {
-	return fmt.Sprintf("%d.%d.%d.%d:%d", e.IP[0], e.IP[1], e.IP[2], e.IP[3], e.Port)
+	var buffer [maxEndpointText]byte
+	return string(e.appendText(buffer[:0]))
+}
+
+// maxEndpointText is the length of the longest text form of an Endpoint.
+const maxEndpointText = len("255.255.255.255:65535")
+
+// MarshalText is what log handlers call; it costs a tenth of formatting by verbs.
+func (e Endpoint) MarshalText() ([]byte, error) {
+	return e.appendText(make([]byte, 0, maxEndpointText)), nil
+}
+
+func (e Endpoint) appendText(dst []byte) []byte {
+	for i, part := range e.IP {
+		if i > 0 {
+			dst = append(dst, '.')
+		}
+		dst = strconv.AppendUint(dst, uint64(part), 10)
+	}
+	return strconv.AppendUint(append(dst, ':'), uint64(e.Port), 10)
 }
 
 // Key names a flow, whichever way a packet of it goes.
@@ -74,7 +94,14 @@
 
 // String identifies the flow in logs.
 func (k Key) String() string {
-	return k.Caller.String() + ">" + k.Service.String()
+	text, _ := k.MarshalText() // it never fails
+	return string(text)
+}
+
+// MarshalText is what log handlers call.
+func (k Key) MarshalText() ([]byte, error) {
+	text := k.Caller.appendText(make([]byte, 0, 2*maxEndpointText+1))
+	return k.Service.appendText(append(text, '>')), nil
 }
 
 // Packet is what the head of a datagram says.
@@ -88,8 +115,10 @@
 	// Bounced says that the upstream returned a caller's packet that it does not take.
 	Bounced bool
 
+	// Age is how long before a copy of an opening packet its caller sent the first.
+	Age time.Duration
+
 	// Sequence and Acknowledged count bytes of the stream, from a random start.
-	// In a caller's opening packet Acknowledged counts its copies.
 	Sequence     uint32
 	Acknowledged uint32
 
--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -19,6 +19,9 @@
 	// Priority orders the backlog: the lowest goes first.
 	Priority int
 
+	// Since is when the caller sent its first opening packet.
+	Since time.Time
+
 	// Hurry is until when the flow must open for its answer to be in time.
 	Hurry time.Time
 
@@ -31,9 +34,9 @@
 	Envelope parcel.Envelope
 }
 
-// Backlog is ordered by priority, then by arrival. Of one priority, the longest
-// waiting goes first while it can be answered in time; once it cannot, the last to
-// come goes first, since a queue that is served in order makes everyone late until
+// Backlog is ordered by priority, then by age. Of one priority, the longest
+// waiting goes first while it can be answered in time; once it cannot, the
+// youngest goes first, since a queue that is served in order makes everyone late until
 // the surge has passed. It is not safe for concurrent use.
 type Backlog struct {
 	waiting []Waiting
@@ -54,9 +57,30 @@
 	return slices.ContainsFunc(b.waiting, func(w Waiting) bool { return w.Key == key && w.Sequence == sequence })
 }
 
-// Add puts a flow behind those of its priority.
+// Add puts a flow behind the older ones of its priority.
 func (b *Backlog) Add(w Waiting) {
-	b.waiting = slices.Insert(b.waiting, b.place(w.Priority), w)
+	place := b.place(w.Priority)
+	for place > 0 && b.waiting[place-1].Priority == w.Priority && b.waiting[place-1].Since.After(w.Since) {
+		place--
+	}
+	b.waiting = slices.Insert(b.waiting, place, w)
+}
+
+// Evict takes out the flow that is the least worth waiting for: the oldest of the
+// least urgent, if that is no more urgent than priority and can no longer be
+// answered in time.
+func (b *Backlog) Evict(now time.Time, priority int) (Waiting, bool) {
+	if len(b.waiting) == 0 {
+		return Waiting{}, false
+	}
+	least := b.waiting[len(b.waiting)-1].Priority
+	turn := b.place(least - 1)
+	evicted := b.waiting[turn]
+	if least < priority || !now.After(evicted.Hurry) {
+		return Waiting{}, false
+	}
+	b.waiting = slices.Delete(b.waiting, turn, turn+1)
+	return evicted, true
 }
 
 // Next takes the flow out whose turn it is.
--- a/internal/state/queue/queue_test.go
+++ b/internal/state/queue/queue_test.go
@@ -105,3 +105,44 @@
 		t.Errorf("got %v", left)
 	}
 }
+
+func TestOlderFlowsStandBeforeYoungerOnes(t *testing.T) {
+	var b queue.Backlog
+	young, old := waiting(1, 2, time.Second), waiting(2, 2, time.Second)
+	young.Since, old.Since = start, start.Add(-200*time.Millisecond)
+	b.Add(young)
+	b.Add(old)
+	if w, _ := b.Next(start); w.Key.Caller.Port != 2 {
+		t.Errorf("got %d first", w.Key.Caller.Port)
+	}
+}
+
+func TestEvict(t *testing.T) {
+	tests := map[string]struct {
+		added    []queue.Waiting
+		priority int
+		want     uint16
+	}{
+		"nothing waits":                       {nil, 2, 0},
+		"all are in time":                     {[]queue.Waiting{waiting(1, 2, time.Second)}, 2, 0},
+		"the oldest late one":                 {[]queue.Waiting{waiting(1, 2, 0), waiting(2, 2, 0)}, 2, 1},
+		"the least urgent":                    {[]queue.Waiting{waiting(1, 1, 0), waiting(2, 2, 0)}, 1, 2},
+		"none that is more urgent":            {[]queue.Waiting{waiting(1, 1, 0)}, 2, 0},
+		"not one that is in time, for a late": {[]queue.Waiting{waiting(1, 1, 0), waiting(2, 2, time.Second)}, 1, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var b queue.Backlog
+			for _, w := range test.added {
+				b.Add(w)
+			}
+			got, ok := b.Evict(start.Add(50*time.Millisecond), test.priority)
+			if got.Key.Caller.Port != test.want || ok != (test.want != 0) {
+				t.Errorf("got %d, %v, want %d", got.Key.Caller.Port, ok, test.want)
+			}
+			if left := len(test.added) - b.Len(); ok != (left == 1) {
+				t.Errorf("%d were taken out", left)
+			}
+		})
+	}
+}
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -166,8 +166,8 @@
 }
 
 func (n *Inlet) apply() {
-	cfg, members := n.link.Config(), n.link.Members()
-	for _, m := range n.link.TakeChanged() {
+	cfg, changed := n.link.Config(), n.link.TakeChanged()
+	for _, m := range changed {
 		n.log.Info("member changed", "member", m.Name, "address", m.Address, "state", m.State.String(),
 			"weight", m.Weight, "incarnation", m.Incarnation, "sequence", m.Sequence)
 	}
@@ -178,8 +178,8 @@
 		n.revision = cfg.Revision
 		n.core.Configure(cfg)
 	}
-	n.core.Members(time.Now(), cfg, members)
-	n.metrics.Members.Set(float64(len(members)))
+	n.core.Change(time.Now(), changed)
+	n.metrics.Members.Set(float64(n.link.Len()))
 }
 
 // expect learns which members were known before this process started. Without
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -108,6 +108,13 @@
 	return l.node.Members()
 }
 
+// Len returns how many members are known.
+func (l *Link) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Roster().Len()
+}
+
 // TakeChanged returns the members that changed since the last call.
 func (l *Link) TakeChanged() []roster.Member {
 	l.mu.Lock()
