Take traffic half a second after a restart; stop when the fabric delivers no more

Two of poa-b's three balancers were rolled 1.2 s apart; each was out of rotation for 3.5 s after its start, since it could not tell when it knew all that the others know. With one of three ready the fabric delivers to all three, also to one that has just ended. Changed: a starting balancer asks one that knows all members for its digest every 200 ms until both tables agree, and is settled then; a stopping one goes on while packets come, 1.5 to 4.5 s, instead of a fixed 2.5 s. Ruled out: lost flows (none was reset), cold upstreams (the release ended before).

--- a/cmd/coriandershift-forward/cmd_balancer.go
+++ b/cmd/coriandershift-forward/cmd_balancer.go
@@ -69,11 +69,11 @@
 	case <-signalled.Done():
 	}
 
-	withdraw := time.Duration(d.settings.Balancer.Withdraw)
-	d.log.Info("withdrawing", "for", withdraw)
+	least, most := time.Duration(d.settings.Balancer.Withdraw), time.Duration(d.settings.Balancer.WithdrawMost)
+	d.log.Info("withdrawing", "least", least, "most", most)
 	withdrawn.Store(true)
 	d.link.Leave()
-	time.Sleep(withdraw)
+	balancer.Withdraw(least, most)
 	d.log.Info("balancer stopped")
 	return nil
 }
--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -227,7 +227,8 @@
 
 	n.learnFrom(now, m)
 	missing := n.roster.Differing([roster.Buckets]uint64(m.Digest))
-	if len(missing) == 0 {
+	n.compare(m, len(missing) == 0)
+	if len(missing) == 0 && !m.Joining {
 		return nil
 	}
 
@@ -247,6 +248,13 @@
 	return sends
 }
 
+// compare notes that a balancer which knew all members before has the same table.
+func (n *Node) compare(m Message, same bool) {
+	if same && m.Reply && m.From.Weight > 0 {
+		n.agreed = true
+	}
+}
+
 func (n *Node) digestMessage(reply bool) Message {
 	m := n.message(Digest)
 	m.shorten()
--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -64,6 +64,10 @@
 
 	// Reply says that a digest answers another one, so that it is not answered again.
 	Reply bool `cbor:"7,keyasint,omitempty"`
+
+	// Joining says that the sender of a digest has just started and wants a reply
+	// also if nothing differs.
+	Joining bool `cbor:"13,keyasint,omitempty"`
 }
 
 func (m *Message) shorten() {
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -79,8 +79,9 @@
 
 	digests int
 	started time.Time
+	agreed  bool // with a balancer that knew all members
 
-	lastTick, lastBeat, lastPush, lastDigest, lastProbe, lastHeard, lastForget time.Time
+	lastTick, lastBeat, lastPush, lastDigest, lastJoin, lastProbe, lastHeard, lastForget time.Time
 }
 
 // New returns a Node for the process that self describes.
@@ -233,6 +234,7 @@
 	n.watch(now)
 	sends = append(sends, n.detectFailures(now)...)
 	sends = append(sends, n.push(now)...)
+	sends = append(sends, n.join(now)...)
 	sends = append(sends, n.digest(now)...)
 	n.roster.Confirm(now)
 	n.forget(now)
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -321,3 +321,31 @@
 	}
 	f.mustAgree(2 * time.Second)
 }
+
+// A balancer that started anew was out of the fabric's rotation for 3.5 s, since
+// it could not tell when it knew all that the others know.
+func TestABalancerThatJoinsAgreesWithOneThatKnowsAll(t *testing.T) {
+	f := settled(t, 1, 6, 11)
+	joiner := f.join(roster.Balancer)
+	joiner.node.SetWeight(0)
+	f.run(time.Second)
+	if !joiner.node.Agreed() {
+		t.Error("no agreement within a second")
+	}
+	if got, want := joiner.node.Roster().Digest(), f.nodes[0].node.Roster().Digest(); got != want {
+		t.Error("the tables differ")
+	}
+}
+
+func TestBalancersThatAllStartAnewHaveNobodyToAgreeWith(t *testing.T) {
+	f := newFleet(t, 1, 3, 5)
+	for _, h := range f.nodes {
+		h.node.SetWeight(0)
+	}
+	f.run(5 * time.Second)
+	for _, h := range f.nodes {
+		if h.node.Agreed() {
+			t.Errorf("%v agrees with one that does not know all", h.addr)
+		}
+	}
+}
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -73,6 +73,33 @@
 	return waiting[:min(count, len(waiting))]
 }
 
+// Agreed reports whether a balancer that knew all members was found to have the
+// same table as this one.
+func (n *Node) Agreed() bool {
+	return n.agreed
+}
+
+// join asks a balancer that knows all members for what a balancer lacks that has
+// just started.
+func (n *Node) join(now time.Time) []Send {
+	if n.agreed || n.self.Weight > 0 || now.Sub(n.started) > joinFor || now.Sub(n.lastJoin) < joinEvery {
+		return nil
+	}
+	var settled []netip.AddrPort
+	for _, m := range n.ring {
+		if m.Weight > 0 && m.State == roster.Alive && m.Address != n.self.Address {
+			settled = append(settled, m.Address)
+		}
+	}
+	if len(settled) == 0 {
+		return nil
+	}
+	n.lastJoin = now
+	m := n.digestMessage(false)
+	m.Joining = true
+	return []Send{{To: settled[n.random.IntN(len(settled))], Message: m}}
+}
+
 func (n *Node) digest(now time.Time) []Send {
 	if now.Sub(n.lastDigest) < digestEvery {
 		return nil
--- a/internal/coordination/steer/settle.go
+++ b/internal/coordination/steer/settle.go
@@ -38,6 +38,11 @@
 	s.counted = true
 }
 
+// Agree says that a balancer which knew all members has the same list.
+func (s *Steer) Agree() {
+	s.agreed = true
+}
+
 // settle finds out whether all agents are known: those that were known before
 // have been heard of, or had the time for it. Callers that could not be answered
 // until then are answered now.
@@ -57,10 +62,10 @@
 
 // complete reports whether all members that were known before are known again.
 // The list of them may lack the latest ones: unless all balancers started anew,
-// it takes settleTime as well to learn what the others know.
+// it takes agreement with one that knows all as well, or settleTime.
 func (s *Steer) complete(age time.Duration) bool {
 	for _, settled := range s.balancers {
-		if settled && age < settleTime {
+		if settled && !s.agreed && age < settleTime {
 			return false
 		}
 	}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -98,11 +98,13 @@
 	queryID  uint16
 
 	// expected are the members that were known before the start, if counted;
-	// settled says that all agents are known. balancers are this one and the
-	// others, with whether they knew all agents when they were first heard of.
+	// agreed says that a balancer which knew all members has the same list, settled
+	// that all agents are known. balancers are this one and the others, with
+	// whether they knew all agents when they were first heard of.
 	expected  []flow.Endpoint
 	balancers map[flow.Endpoint]bool
 	counted   bool
+	agreed    bool
 	settled   bool
 	lastTick  time.Time
 
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -458,6 +458,23 @@
 	}
 }
 
+func TestABalancerThatAgreesWithOneThatKnowsAllIsSettled(t *testing.T) {
+	s := steer.New(self, "a", start)
+	s.Configure(cfg(1, "svc"))
+	s.Change(start, append(agents("svc", 10), balancer(2, 100)))
+	s.Expect([]flow.Endpoint{endpoint(10), endpoint(11)})
+	s.Agree()
+	s.Tick(start.Add(500 * time.Millisecond))
+	if s.Settled() {
+		t.Error("settled without an agent that was known before")
+	}
+	s.Change(start, agents("svc", 11))
+	s.Tick(start.Add(600 * time.Millisecond))
+	if !s.Settled() {
+		t.Error("not settled")
+	}
+}
+
 func TestSettlingAnswersCallersThatWaited(t *testing.T) {
 	s := steer.New(self, "a", start)
 	s.Configure(cfg(1, "svc"))
--- a/internal/state/setup/forward.go
+++ b/internal/state/setup/forward.go
@@ -52,8 +52,10 @@
 	// Ready answers the fabric's probes over TCP.
 	Ready netip.AddrPort `json:"ready"`
 
-	// Withdraw is how long a stopping balancer still forwards after it tells the fabric.
-	Withdraw Duration `json:"withdraw,omitempty"`
+	// Withdraw is how long a stopping balancer still forwards after it tells the
+	// fabric, WithdrawMost how long if the fabric goes on delivering packets.
+	Withdraw     Duration `json:"withdraw,omitempty"`
+	WithdrawMost Duration `json:"withdrawMost,omitempty"`
 }
 
 // ForwardAgent is the settings of an agent alone.
@@ -77,8 +79,11 @@
 
 // Defaults for fields of Forward that are left out.
 const (
-	// defaultForwardWithdraw covers two missed probes of the fabric, half a second apart.
-	defaultForwardWithdraw = Duration(2500 * time.Millisecond)
+	// defaultForwardWithdraw covers two missed probes of the fabric, half a second
+	// apart, and defaultWithdrawMost leaves a second and a half of the six that VMs
+	// give a stopping process.
+	defaultForwardWithdraw = Duration(1500 * time.Millisecond)
+	defaultWithdrawMost    = Duration(4500 * time.Millisecond)
 
 	// defaultForwardDrain leaves a second of the six that VMs give a stopping process.
 	defaultForwardDrain = Duration(4500 * time.Millisecond)
@@ -124,6 +129,9 @@
 	if f.Balancer != nil && f.Balancer.Withdraw == 0 {
 		f.Balancer.Withdraw = defaultForwardWithdraw
 	}
+	if f.Balancer != nil && f.Balancer.WithdrawMost == 0 {
+		f.Balancer.WithdrawMost = max(f.Balancer.Withdraw, defaultWithdrawMost)
+	}
 	if f.Agent != nil && f.Agent.Drain == 0 {
 		f.Agent.Drain = defaultForwardDrain
 	}
@@ -144,6 +152,7 @@
 		doc.requireIPv4("balancer.callers", f.Balancer.Callers)
 		doc.requireIPv4("balancer.ready", f.Balancer.Ready)
 		doc.require("balancer.withdraw", f.Balancer.Withdraw >= 0, "must not be negative")
+		doc.require("balancer.withdrawMost", f.Balancer.WithdrawMost >= f.Balancer.Withdraw, "must not be less than withdraw")
 		doc.require("balancer.callers", f.Balancer.Callers != f.Address, "is in use by address already")
 	}
 	if f.Agent != nil {
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -31,6 +31,9 @@
 	// sweepEvery is the time between two ticks without anything due.
 	sweepEvery = time.Second
 
+	// settleEvery is the same while this process does not know all agents yet.
+	settleEvery = 100 * time.Millisecond
+
 	// censusPause is the time between two attempts to read the census.
 	censusPause = time.Second
 )
@@ -51,6 +54,8 @@
 	timer    *time.Timer
 	due      time.Time
 	buffer   []byte
+
+	lastCaller time.Time // when the fabric delivered a packet last
 }
 
 // Options are what an Inlet needs.
@@ -124,8 +129,10 @@
 			n.metrics.Dropped.WithLabelValues(string(steer.Malformed)).Inc()
 			continue
 		}
+		now := time.Now()
 		n.mu.Lock()
-		n.carryOut(n.core.FromCaller(time.Now(), &p))
+		n.lastCaller = now
+		n.carryOut(n.core.FromCaller(now, &p))
 		n.mu.Unlock()
 	}
 }
@@ -220,20 +227,40 @@
 			return
 		case <-n.timer.C:
 		}
-		n.mu.Lock()
-		n.due = time.Time{}
-		n.carryOut(n.core.Tick(time.Now()))
-		n.metrics.Connections.Set(float64(n.core.Flows()))
-		if n.core.Settled() && !n.settled {
-			n.settled = true
-			n.log.Info("all agents are known", "agents", n.core.Agents())
-			n.link.SetWeight(roster.MaxWeight)
-		}
-		if n.due.IsZero() {
-			n.timer.Reset(sweepEvery)
-		}
-		n.mu.Unlock()
+		n.tickOnce()
+	}
+}
+
+func (n *Inlet) tickOnce() {
+	agreed := n.link.Agreed()
+	if agreed {
+		n.apply() // what was agreed on counts from here on
+	}
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.due = time.Time{}
+	if agreed {
+		n.core.Agree()
+	}
+	n.carryOut(n.core.Tick(time.Now()))
+	n.metrics.Connections.Set(float64(n.core.Flows()))
+	if n.core.Settled() && !n.settled {
+		n.settled = true
+		n.log.Info("all agents are known", "agents", n.core.Agents(), "agreed", agreed)
+		n.link.SetWeight(roster.MaxWeight)
+	}
+	if n.due.IsZero() {
+		n.timer.Reset(n.pause())
+	}
+}
+
+// pause returns the time to the next tick without anything due.
+func (n *Inlet) pause() time.Duration {
+	if n.settled {
+		return sweepEvery
 	}
+	return settleEvery
 }
 
 // carryOut must be called with the lock held.
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -108,6 +108,14 @@
 	return l.node.Members()
 }
 
+// Agreed reports whether a balancer that knew all members was found to know the
+// same as this one.
+func (l *Link) Agreed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Agreed()
+}
+
 // Len returns how many members are known.
 func (l *Link) Len() int {
 	l.mu.Lock()
