Hold packets in a balancer's first half second until it knows its agents

Changed: until the configuration and half of the expected agents are known, packets are held, at most 512 and 0.5 s; the first heartbeats go out at once instead of after 100 ms; the search for due work is no longer repeated for each packet.

--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -20,6 +20,7 @@
 		return n.onHeartbeat(now, m), offer
 	case Ack:
 		n.onAck(now, m)
+		return n.join(now), offer
 	case Probe:
 		return []Send{{To: m.From.Address, Message: n.heartbeat(m.From.Address)}}, offer
 	case Push:
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -82,7 +82,7 @@
 // join asks a balancer that knows all members for what a balancer lacks that has
 // just started.
 func (n *Node) join(now time.Time) []Send {
-	if n.agreed || n.self.Weight > 0 || now.Sub(n.started) > joinFor || now.Sub(n.lastJoin) < joinEvery {
+	if n.self.Role != roster.Balancer || n.agreed || n.self.Weight > 0 || now.Sub(n.started) > joinFor || now.Sub(n.lastJoin) < joinEvery {
 		return nil
 	}
 	var settled []netip.AddrPort
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -18,6 +18,8 @@
 	Send
 	// Reset tells the caller that the flow does not exist.
 	Reset
+	// Hold keeps the packet until it can be routed.
+	Hold
 )
 
 // Action is a decision on one packet. Reason is empty for packets of known flows.
@@ -42,6 +44,7 @@
 
 // The reasons.
 const (
+	Starting   Reason = "starting"
 	Placed     Reason = "placed"
 	PlacedFull Reason = "placedAllFull"
 	PlacedNext Reason = "placedNextAfterSilence"
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -91,6 +91,7 @@
 	}
 	f.packet = append(f.packet[:0], p.Raw...)
 	f.acknowledged = p.Acknowledged
+	s.active = true
 	switch {
 	case f.state == chained:
 		s.chain(now, key, p.Raw, route, first)
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -87,12 +87,18 @@
 	flows map[flow.Key]*entry
 	opens map[flow.Key]*open
 
+	// held are packets from before the balancer knew enough for placing flows.
+	held    []held
+	knowing bool
+
 	// oldestOpen is not after the time of any of opens.
 	oldestOpen time.Time
 
 	noted time.Duration // usual time to a note
 
-	// searches are the flows that were looked for and not found yet.
+	// searches are the flows that were looked for and not found yet; active says
+	// that some may need ticks.
+	active   bool
 	searches map[flow.Key]*search
 	queries  map[uint16]*query
 	queryID  uint16
@@ -185,18 +191,22 @@
 func (s *Steer) FromCaller(now time.Time, p *flow.Packet) []Action {
 	s.out = s.out[:0]
 	key := p.FromCaller()
-	route := s.routes[key.Service]
-	if route == nil {
-		s.refuse(key, p, NoRoute)
-		return s.out
+	if s.oriented() || !s.hold(now, key, p) {
+		s.fromCaller(now, key, p)
 	}
+	return s.out
+}
 
-	if p.Opening() {
+func (s *Steer) fromCaller(now time.Time, key flow.Key, p *flow.Packet) {
+	route := s.routes[key.Service]
+	switch {
+	case route == nil:
+		s.refuse(key, p, NoRoute)
+	case p.Opening():
 		s.opening(now, key, p, route)
-		return s.out
+	default:
+		s.following(now, key, p, route)
 	}
-	s.following(now, key, p, route)
-	return s.out
 }
 
 // following routes a packet of a flow that should be open.
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -7,7 +7,7 @@
 // Due returns when Tick has something to do, and false if it has nothing.
 func (s *Steer) Due() (time.Time, bool) {
 	var due time.Time
-	if s.searching() {
+	if s.active || len(s.held) > 0 {
 		due = s.lastTick.Add(queryEvery)
 	}
 	if len(s.opens) > 0 {
@@ -32,9 +32,11 @@
 	late := s.late(now)
 	s.lastTick = now
 	s.settle(now)
+	s.release(now)
 	s.ask(now)
 	s.retryOpens(now, late)
 	s.sweep(now)
+	s.active = s.searching()
 	return s.out
 }
 
@@ -57,7 +59,7 @@
 // late returns by how much this tick is late, 0 if it came in time.
 func (s *Steer) late(now time.Time) time.Duration {
 	due, waiting := s.Due()
-	if late := now.Sub(due); waiting && !s.searching() && late > lateTick {
+	if late := now.Sub(due); waiting && !s.active && len(s.held) == 0 && late > lateTick {
 		return late
 	}
 	return 0
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -303,6 +303,10 @@
 			"load", a.Load, "loadAge", a.LoadAge.Round(time.Millisecond), "revision", n.revision)
 		return
 	}
+	if a.Verb == steer.Hold {
+		n.log.Info("flow held", "flow", a.Key, "reason", string(a.Reason), "revision", n.revision, "agents", n.core.Agents())
+		return
+	}
 	n.metrics.Dropped.WithLabelValues(string(a.Reason)).Inc()
 	n.log.Info("flow not routed", "flow", a.Key, "reason", string(a.Reason), "reset", a.Verb == steer.Reset,
 		"revision", n.revision, "agents", n.core.Agents())
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -215,6 +215,7 @@
 	ticker := time.NewTicker(member.TickEvery)
 	defer ticker.Stop()
 
+	l.tick() // a process that starts is waited for
 	for {
 		select {
 		case <-ctx.Done():
