Let callers who waited through an outage wait 0.8 s more

Cause: after the closing fault callers spent three tries in a moment on agents that refused them, although the surge was over a second later. Changed: for 2 s after an agent's start a flow may wait 0.8 s, later a quarter of the objective as before.

--- a/internal/coordination/owner/room.go
+++ b/internal/coordination/owner/room.go
@@ -20,6 +20,12 @@
 	// at once and served in time on their next try.
 	waitShare = 4
 
+	// recoverWait bounds it for recoverFor after an agent's start: callers who come
+	// then have waited through an outage and would have spent their last tries in a
+	// moment, while the surge is over in two seconds.
+	recoverWait = 800 * time.Millisecond
+	recoverFor  = 2 * time.Second
+
 	// usualWait is expected at most where a route has no objective.
 	usualWait = 100 * time.Millisecond
 
@@ -77,7 +83,7 @@
 // answered in time any more, or refuses it if its own turn would come too late.
 func (o *Owner) wait(now time.Time, key flow.Key, e *parcel.Envelope, p *flow.Packet) {
 	priority, objective := o.urgency(key)
-	if o.expectedWait(priority) > waitBound(objective) {
+	if o.expectedWait(priority) > o.waitBound(now, objective) {
 		evicted, ok := o.backlog.Evict(now, priority)
 		if !ok {
 			o.handOn(now, key, e, p.Raw, Overloaded)
@@ -103,8 +109,11 @@
 }
 
 // waitBound returns how long a flow may be expected to wait.
-func waitBound(objective time.Duration) time.Duration {
-	if objective == 0 {
+func (o *Owner) waitBound(now time.Time, objective time.Duration) time.Duration {
+	switch {
+	case now.Sub(o.started) < recoverFor:
+		return recoverWait
+	case objective == 0:
 		return usualWait
 	}
 	return objective / waitShare
