Fetch changes of the configuration only, and push news mostly within a domain

Changed: deltas hold routes and the idle timeout too, and peers hand out the changes since a revision; where they do not know it or it does not fit, the whole configuration follows. Of three pushes two go to balancers of the own failure domain, if it has as many.

--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -32,7 +32,10 @@
 	cut func(from, to *host) bool
 
 	sent map[member.Kind]int
-	size func(member.Message) int
+
+	// nearPushes are those that stayed in their failure domain.
+	nearPushes int
+	size       func(member.Message) int
 
 	// traffic is the bytes sent and received by each role, if size is set.
 	traffic map[roster.Role]int
@@ -164,6 +167,9 @@
 	for _, s := range sends {
 		f.sent[s.Message.Kind]++
 		to := f.byAddr[s.To]
+		if s.Message.Kind == member.Push && to != nil && from.domain == to.domain {
+			f.nearPushes++
+		}
 		if f.size != nil && to != nil {
 			bytes := f.size(s.Message)
 			f.traffic[from.role] += bytes
--- a/internal/coordination/member/node_test.go
+++ b/internal/coordination/member/node_test.go
@@ -349,3 +349,19 @@
 		}
 	}
 }
+
+// Bytes between failure domains are what a large fleet pays most for.
+func TestNewsStaysMostlyInItsFailureDomain(t *testing.T) {
+	f := settled(t, 1, 40, 40)
+	pushes, near := f.sent[member.Push], f.nearPushes
+	leaving := f.nodes[len(f.nodes)-1]
+	leaving.node.Leave()
+	f.run(3 * time.Second)
+	pushes, near = f.sent[member.Push]-pushes, f.nearPushes-near
+	if pushes == 0 || 2*near < pushes {
+		t.Errorf("%d of %d pushes stayed in their failure domain", near, pushes)
+	}
+	if left := f.disagreeing(leaving, roster.Leaving); len(left) != 0 {
+		t.Errorf("%d balancers have not heard the news", len(left))
+	}
+}
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -132,16 +132,28 @@
 	return []netip.AddrPort{lost[n.random.IntN(len(lost))]}
 }
 
-// peers returns up to count other balancers at random.
+// peers returns up to count other balancers at random: one from anywhere, so that
+// news leaves the failure domain, the others from the own one, where bytes cost
+// nothing, if that has enough.
 func (n *Node) peers(count int) []netip.AddrPort {
-	others := len(n.ring)
-	if n.isOnRing() {
-		others--
+	near := n.near()
+	if len(near) < count {
+		near = nil
 	}
+	chosen := n.pick(nil, n.ring, min(count, 1))
+	if near != nil {
+		return n.pick(chosen, near, count)
+	}
+	return n.pick(chosen, n.ring, count)
+}
 
-	var chosen []netip.AddrPort
-	for len(chosen) < min(count, others) {
-		address := n.ring[n.random.IntN(len(n.ring))].Address
+// maxDraws is how often a member is drawn at random before too few are taken to exist.
+const maxDraws = 32
+
+// pick adds members to chosen at random until there are count, or no more are found.
+func (n *Node) pick(chosen []netip.AddrPort, from []roster.Member, count int) []netip.AddrPort {
+	for tries := 0; len(from) > 0 && len(chosen) < count && tries < maxDraws; tries++ {
+		address := from[n.random.IntN(len(from))].Address
 		if address != n.self.Address && !slices.Contains(chosen, address) {
 			chosen = append(chosen, address)
 		}
@@ -149,6 +161,20 @@
 	return chosen
 }
 
+// near returns the other balancers of the own failure domain.
+func (n *Node) near() []roster.Member {
+	if n.nearAt != n.ringAt || n.nearby == nil {
+		n.nearAt = n.ringAt
+		n.nearby = []roster.Member{}
+		for i := range n.ring {
+			if n.ring[i].Domain == n.self.Domain && n.ring[i].Address != n.self.Address {
+				n.nearby = append(n.nearby, n.ring[i])
+			}
+		}
+	}
+	return n.nearby
+}
+
 func (n *Node) isOnRing() bool {
 	m, ok := n.roster.Get(n.self.Address)
 	return ok && m.State != roster.Dead
--- a/internal/state/config/change.go
+++ b/internal/state/config/change.go
@@ -186,6 +186,7 @@
 func (c *Config) sort() {
 	slices.SortFunc(c.Domains, func(a, b Domain) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Routes, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
 	slices.Sort(c.Drained)
 }
 
--- a/internal/state/config/delta.go
+++ b/internal/state/config/delta.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -24,27 +25,21 @@
 
 	// Removed are the names of the services that are gone.
 	Removed []string `json:"removed,omitempty"`
+
+	// Routes are those that are new or differ, RemovedRoutes the names of those
+	// that are gone.
+	Routes        []Route  `json:"routes,omitempty"`
+	RemovedRoutes []string `json:"removedRoutes,omitempty"`
+
+	// IdleTimeout replaces the one before.
+	IdleTimeout Milliseconds `json:"idleTimeoutMs,omitempty"`
 }
 
 // Diff returns the delta from one configuration to a later one.
 func Diff(from, to *Config) Delta {
-	d := Delta{From: from.Revision, To: to.Revision, Domains: to.Domains, Drained: to.Drained}
-
-	before := make(map[string]*Service, len(from.Services))
-	for i := range from.Services {
-		before[from.Services[i].Name] = &from.Services[i]
-	}
-	for i := range to.Services {
-		s := &to.Services[i]
-		if old := before[s.Name]; old == nil || !old.equal(s) {
-			d.Services = append(d.Services, *s)
-		}
-		delete(before, s.Name)
-	}
-	for name := range before {
-		d.Removed = append(d.Removed, name)
-	}
-	slices.Sort(d.Removed)
+	d := Delta{From: from.Revision, To: to.Revision, Domains: to.Domains, Drained: to.Drained, IdleTimeout: to.IdleTimeout}
+	d.Services, d.Removed = differing(from.Services, to.Services, serviceName, (*Service).equal)
+	d.Routes, d.RemovedRoutes = differing(from.Routes, to.Routes, routeName, (*Route).equal)
 	return d
 }
 
@@ -54,52 +49,88 @@
 	if d.From != c.Revision || d.To <= d.From {
 		return nil, errors.WithMessagef(ErrGap, "revision %d, delta from %d to %d", c.Revision, d.From, d.To)
 	}
+	next := &Config{
+		Revision: d.To, Domains: slices.Clone(d.Domains), Drained: slices.Clone(d.Drained), IdleTimeout: d.IdleTimeout,
+		Services: replaced(c.Services, d.Services, d.Removed, serviceName),
+		Routes:   replaced(c.Routes, d.Routes, d.RemovedRoutes, routeName),
+	}
+	next.sort()
+	return next, next.Validate()
+}
 
-	gone := make(map[string]bool, len(d.Removed)+len(d.Services))
-	for _, name := range d.Removed {
-		gone[name] = true
+// Then returns the delta that leads over both, the other one starting where d ends.
+func (d Delta) Then(next Delta) Delta {
+	joined := Delta{From: d.From, To: next.To, Domains: next.Domains, Drained: next.Drained, IdleTimeout: next.IdleTimeout}
+	joined.Services, joined.Removed = joinedChanges(d.Services, next.Services, d.Removed, next.Removed, serviceName)
+	joined.Routes, joined.RemovedRoutes = joinedChanges(d.Routes, next.Routes, d.RemovedRoutes, next.RemovedRoutes, routeName)
+	return joined
+}
+
+func serviceName(s *Service) string { return s.Name }
+
+func routeName(r *Route) string { return r.Name }
+
+// differing returns the items of to that are new or differ, and the names of those that are gone.
+func differing[T any](from, to []T, name func(*T) string, equal func(*T, *T) bool) ([]T, []string) {
+	before := make(map[string]*T, len(from))
+	for i := range from {
+		before[name(&from[i])] = &from[i]
+	}
+
+	var changed []T
+	for i := range to {
+		if old := before[name(&to[i])]; old == nil || !equal(old, &to[i]) {
+			changed = append(changed, to[i])
+		}
+		delete(before, name(&to[i]))
+	}
+	return changed, slices.Sorted(maps.Keys(before))
+}
+
+// replaced returns the items with the changed ones in the place of those before
+// and without the removed ones.
+func replaced[T any](items, changed []T, removed []string, name func(*T) string) []T {
+	gone := make(map[string]bool, len(removed)+len(changed))
+	for _, n := range removed {
+		gone[n] = true
 	}
-	for i := range d.Services {
-		gone[d.Services[i].Name] = true
+	for i := range changed {
+		gone[name(&changed[i])] = true
 	}
 
-	next := &Config{Revision: d.To, Domains: slices.Clone(d.Domains), Drained: slices.Clone(d.Drained)}
-	next.Services = make([]Service, 0, len(c.Services)+len(d.Services))
-	for i := range c.Services {
-		if !gone[c.Services[i].Name] {
-			next.Services = append(next.Services, c.Services[i])
+	next := make([]T, 0, len(items)+len(changed))
+	for i := range items {
+		if !gone[name(&items[i])] {
+			next = append(next, items[i])
 		}
 	}
-	next.Services = append(next.Services, d.Services...)
-	next.sort()
-	return next, next.Validate()
+	return append(next, changed...)
 }
 
-// Then returns the delta that leads over both, the other one starting where d ends.
-func (d Delta) Then(next Delta) Delta {
-	joined := Delta{From: d.From, To: next.To, Domains: next.Domains, Drained: next.Drained}
-	later := make(map[string]bool, len(next.Services)+len(next.Removed))
-	for i := range next.Services {
-		later[next.Services[i].Name] = true
+// joinedChanges returns what two changes in a row come to.
+func joinedChanges[T any](first, second []T, goneFirst, goneSecond []string, name func(*T) string) ([]T, []string) {
+	later := make(map[string]bool, len(second)+len(goneSecond))
+	for i := range second {
+		later[name(&second[i])] = true
 	}
-	for _, name := range next.Removed {
-		later[name] = true
+	for _, n := range goneSecond {
+		later[n] = true
 	}
 
-	joined.Services = append(joined.Services, next.Services...)
-	for i := range d.Services {
-		if !later[d.Services[i].Name] {
-			joined.Services = append(joined.Services, d.Services[i])
+	changed := slices.Clone(second)
+	for i := range first {
+		if !later[name(&first[i])] {
+			changed = append(changed, first[i])
 		}
 	}
-	joined.Removed = append(joined.Removed, next.Removed...)
-	for _, name := range d.Removed {
-		if !later[name] {
-			joined.Removed = append(joined.Removed, name)
+	gone := slices.Clone(goneSecond)
+	for _, n := range goneFirst {
+		if !later[n] {
+			gone = append(gone, n)
 		}
 	}
-	slices.Sort(joined.Removed)
-	return joined
+	slices.Sort(gone)
+	return changed, gone
 }
 
 func (s *Service) equal(other *Service) bool {
--- a/internal/state/config/delta_test.go
+++ b/internal/state/config/delta_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -109,3 +110,82 @@
 		})
 	}
 }
+
+func forwarded(revision uint64, change func(*config.Config)) *config.Config {
+	route := func(name, address, service string) config.Route {
+		return config.Route{
+			Name: name, Address: netip.MustParseAddrPort(address), Kind: config.Idempotent,
+			Shares: []config.Share{{Service: service, Weight: 1}},
+		}
+	}
+	c := &config.Config{
+		Revision: revision, IdleTimeout: 15000,
+		Services: []config.Service{{Name: "a"}, {Name: "b"}},
+		Routes:   []config.Route{route("r1", "198.18.0.1:443", "a"), route("r2", "198.18.0.2:443", "b")},
+	}
+	if change != nil {
+		change(c)
+	}
+	return c
+}
+
+func TestDeltasOfRoutes(t *testing.T) {
+	tests := map[string]struct {
+		change func(*config.Config)
+		routes int // that the delta holds
+	}{
+		"nothing": {nil, 0},
+		"a route is added": {func(c *config.Config) {
+			c.Routes = append(c.Routes, config.Route{
+				Name: "r3", Address: netip.MustParseAddrPort("198.18.0.3:443"), Shares: []config.Share{{Service: "a", Weight: 1}},
+			})
+		}, 1},
+		"a route is dropped":       {func(c *config.Config) { c.Routes = c.Routes[:1] }, 0},
+		"a route leads elsewhere":  {func(c *config.Config) { c.Routes[0].Shares = []config.Share{{Service: "b", Weight: 1}} }, 1},
+		"a timeout changes":        {func(c *config.Config) { c.Routes[1].Timeout = 99 }, 1},
+		"the idle timeout changes": {func(c *config.Config) { c.IdleTimeout = 1 }, 0},
+		"a domain is out":          {func(c *config.Config) { c.Domains = []config.Domain{{Name: "d", Number: 1, Out: true}} }, 0},
+		"a service bears less":     {func(c *config.Config) { c.Services[0].Limits.ColdPerSecond = 3 }, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			first, second, third := forwarded(3, nil), forwarded(7, test.change), forwarded(9, test.change)
+			third.Routes[0].Priority = 5
+			delta := config.Diff(first, second)
+			if len(delta.Routes) != test.routes {
+				t.Errorf("the delta holds %d routes, want %d", len(delta.Routes), test.routes)
+			}
+			got, err := first.Patch(delta)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(second, got, cmpopts.EquateEmpty(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+				t.Error(diff)
+			}
+
+			got, err = first.Patch(delta.Then(config.Diff(second, third)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(third, got, cmpopts.EquateEmpty(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestRoutesThatContradictEachOther(t *testing.T) {
+	tests := map[string]func(*config.Config){
+		"two of a name":     func(c *config.Config) { c.Routes[1].Name = "r1" },
+		"two of an address": func(c *config.Config) { c.Routes[1].Address = c.Routes[0].Address },
+		"without a service": func(c *config.Config) { c.Routes[1].Shares = nil },
+		"without address":   func(c *config.Config) { c.Routes[1].Address = netip.AddrPort{} },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			if err := forwarded(1, change).Validate(); !errors.Is(err, config.ErrInvalid) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/state/config/route.go
+++ b/internal/state/config/route.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // Route sends the forwarded flows of one address to services.
@@ -83,3 +85,29 @@
 	d, known := c.Domain(domain)
 	return known && d.Out
 }
+
+func (r *Route) equal(other *Route) bool {
+	return r.Name == other.Name && r.Address == other.Address && r.Kind == other.Kind && r.Priority == other.Priority &&
+		r.Timeout == other.Timeout && r.Objective == other.Objective && slices.Equal(r.Shares, other.Shares)
+}
+
+// validateRoutes returns ErrInvalid with the first contradiction found.
+func (c *Config) validateRoutes() error {
+	names := make(map[string]bool, len(c.Routes))
+	addresses := make(map[netip.AddrPort]string, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		other, taken := addresses[r.Address]
+		switch {
+		case names[r.Name]:
+			return errors.WithMessagef(ErrInvalid, "route %q stands twice", r.Name)
+		case taken:
+			return errors.WithMessagef(ErrInvalid, "route %q: address %s is taken by %q", r.Name, r.Address, other)
+		case !r.Address.IsValid() || len(r.Shares) == 0:
+			return errors.WithMessagef(ErrInvalid, "route %q has no address or no service", r.Name)
+		}
+		names[r.Name] = true
+		addresses[r.Address] = r.Name
+	}
+	return nil
+}
--- a/internal/state/config/validate.go
+++ b/internal/state/config/validate.go
@@ -11,8 +11,12 @@
 	maxAddresses     = 256
 )
 
-// Validate returns ErrInvalid with the first contradiction found.
+// Validate returns ErrInvalid with the first contradiction found. Services of
+// forwarded flows have neither numbers nor addresses of their own: their routes do.
 func (c *Config) Validate() error {
+	if len(c.Routes) > 0 {
+		return c.validateRoutes()
+	}
 	if err := c.validateDomains(); err != nil {
 		return err
 	}
--- a/internal/transport/link/source_test.go
+++ b/internal/transport/link/source_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -260,3 +261,59 @@
 		l.Control(buffer[:count])
 	}
 }
+
+func routed(revision uint64, count int) *config.Config {
+	c := &config.Config{Revision: revision, Services: []config.Service{{Name: "svc"}}}
+	for i := range count {
+		c.Routes = append(c.Routes, config.Route{
+			Name:    fmt.Sprintf("r%03d", i),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
+			Shares:  []config.Share{{Service: "svc", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// A peer's whole configuration was fetched at each change.
+func TestAPeerHandsOutChangesOnly(t *testing.T) {
+	l := newLink(t, roster.Balancer, newMemory())
+	var asked []string
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+link.ConfigPath, func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.URL.RawQuery)
+		l.ServeConfig(w, r)
+	})
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	at := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+
+	first := routed(3, 200)
+	l.Adopt(first, "test")
+	second := routed(5, 200)
+	second.Routes[17].Priority = 9
+	l.Adopt(second, "test")
+
+	tests := map[string]struct {
+		known *config.Config
+		want  []string
+	}{
+		"the revision before":             {first, []string{"after=3"}},
+		"one that the peer does not know": {routed(4, 200), []string{"after=4", ""}},
+		"none":                            {&config.Config{}, []string{""}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			asked = nil
+			got, err := link.NewPlain().Newer(context.Background(), at, test.known)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(test.want, asked); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(second, got, cmpopts.EquateEmpty(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
