Hold back upstreams that fail requests

One that resets or leaves requests looked idle or full for ever. Changed: an agent follows how many requests its upstream resets or leaves unanswered within the route's timeout (which also frees their room) and tells balancers with each note, like the mean time. One with 20 of 100 failed, or four times faster than the median of the choices, comes after all others, and is tried again by one flow each 5 s; agents without room still hand on to it, so a false alarm costs a hop. Slow ones are told by the median, not by the fastest, which may be the one that fails.

--- a/internal/coordination/model/load_test.go
+++ b/internal/coordination/model/load_test.go
@@ -54,6 +54,9 @@
 	// slow makes the first upstream's work longer by a factor, if not 0.
 	slow float64
 
+	// hasty lets the first upstream answer at once, as one does that fails.
+	hasty bool
+
 	// outage takes everything away for a time in the middle, if not 0.
 	outage time.Duration
 
@@ -63,6 +66,7 @@
 // tally is what callers got, of those that asked after the warm-up.
 type tally struct {
 	asked, inAim, answered, refused int
+	failed                          int // by a hasty upstream
 	after, afterInAim               int // asked in the two seconds after the outage
 	took                            []time.Duration
 	messages                        int // between balancers and agents
@@ -380,6 +384,12 @@
 	if f.now.Sub(s.born) < coldFor {
 		took = time.Duration(float64(took) * coldSlowdown)
 	}
+	if f.hasty && s.index == 0 {
+		took = time.Millisecond
+		if a.counted {
+			f.failed++
+		}
+	}
 	if f.slow > 0 && s.index == 0 {
 		took = time.Duration(float64(took) * f.slow)
 	}
--- a/internal/coordination/model/placing_test.go
+++ b/internal/coordination/model/placing_test.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// TestAnUpstreamThatFailsAtOnceGetsLittle: one of seven that answers errors at once
+// is always the least loaded, and got most of the flows.
+func TestAnUpstreamThatFailsAtOnceGetsLittle(t *testing.T) {
+	const fair = 1.0 / loadAgents
+	for _, slots := range []int{2, 5, 8} {
+		got := newFarm(play{seed: 1, rule: pick.Usual, slots: slots, load: 0.5, length: 10 * time.Second, hasty: true}).run()
+		if share := float64(got.failed) / float64(got.asked); share > fair/2 {
+			t.Errorf("%d slots: %.3f of the requests went there, want less than half of %.3f", slots, share, fair)
+		}
+	}
+}
+
 // TestOverloadCostsFewMessages wants the usual rule to need fewer messages under
 // overload than asking one full agent after the other.
 func TestOverloadCostsFewMessages(t *testing.T) {
--- a/internal/coordination/owner/action.go
+++ b/internal/coordination/owner/action.go
@@ -79,7 +79,8 @@
 
 // Completion is the end of one request, seen from its packets.
 type Completion struct {
-	Key  flow.Key
-	Kind config.Kind
-	Took time.Duration
+	Key     flow.Key
+	Kind    config.Kind
+	Took    time.Duration
+	Outcome Outcome
 }
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -124,6 +124,7 @@
 	}
 	if p.Reset {
 		e.ended = true
+		e.asked = false // the caller gave up
 	}
 	if e.closed() {
 		o.release(e)
@@ -140,8 +141,11 @@
 		e.packet = nil
 		o.unheard = 0
 	}
-	if p.Length > 0 {
-		o.complete(now, key, e)
+	switch {
+	case p.Length > 0:
+		o.finish(now, key, e, Answered) // the first bytes end the work on it
+	case p.Reset:
+		o.finish(now, key, e, Cut)
 	}
 	e.noteSent(p)
 	if p.Finish {
@@ -167,21 +171,6 @@
 	e.upstreamSent = max(e.upstreamSent, sent)
 }
 
-// complete takes the first bytes of an answer for the end of the work on it.
-func (o *Owner) complete(now time.Time, key flow.Key, e *entry) {
-	o.rest(e)
-	if !e.asked {
-		return
-	}
-	e.asked = false
-	done := Completion{Key: key, Took: now.Sub(e.askedAt)}
-	if route := o.routes[key.Service]; route != nil {
-		done.Kind = route.Kind
-	}
-	o.finished = append(o.finished, done)
-	o.service += (done.Took - o.service) / serviceWeight
-}
-
 // Due returns when Tick has something to do, and false if it has nothing.
 func (o *Owner) Due() (time.Time, bool) {
 	var due time.Time
@@ -216,7 +205,7 @@
 	}
 	for _, w := range o.backlog.Expire(now) {
 		o.resetCaller(w.Key, 0, Expired)
-		o.tell(w.Key, &w.Envelope, true)
+		o.tell(now, w.Key, &w.Envelope, true)
 	}
 	o.sweep(now)
 	o.pump(now)
@@ -233,6 +222,9 @@
 		o.unheard = max(o.unheard, silentAfter)
 	}
 	for key, e := range o.flows {
+		if o.overdue(now, key, e) {
+			o.finish(now, key, e, Unanswered)
+		}
 		idle := now.Sub(e.lastAt)
 		if idle > forgetAfter || (idle > closedLinger && (e.closed() || !e.open)) {
 			o.end(key, e)
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -12,14 +12,14 @@
 	if known := o.flows[key]; known != nil {
 		if known.sequence == p.Sequence && !known.closed() {
 			o.deliver(key, p.Raw, 0, "")
-			o.tell(key, e, false)
+			o.tell(now, key, e, false)
 			return
 		}
 		o.end(key, known) // the caller uses its port again
 	}
 
 	if o.backlog.Holds(key, p.Sequence) {
-		o.tell(key, e, false)
+		o.tell(now, key, e, false)
 		return
 	}
 
@@ -27,7 +27,7 @@
 	switch reason {
 	case "":
 		o.open(now, key, p.Sequence, p.Raw, e)
-		o.tell(key, e, false)
+		o.tell(now, key, e, false)
 	case Full:
 		o.full(now, key, e, p)
 	case Unconfigured:
@@ -114,12 +114,12 @@
 	if e.Repeated || o.unsure(now, reason) {
 		o.actions = append(o.actions, Action{Verb: Drop, Reason: reason, Key: key, Load: o.requests})
 		if reason == Overloaded {
-			o.tell(key, e, true) // asking others would only add to the load
+			o.tell(now, key, e, true) // asking others would only add to the load
 		}
 		return
 	}
 	o.resetCaller(key, 0, reason)
-	o.tell(key, e, true)
+	o.tell(now, key, e, true)
 }
 
 // startUp is how long after its start an agent may not have heard its upstream yet.
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -83,6 +83,7 @@
 	unheard  int // opening packets in a row without an answer
 	backlog  queue.Backlog
 	service  time.Duration // mean time of a request at the upstream
+	faults   faults
 	offers   offers
 	mayOffer bool // the upstream may have flows from before the agent's start
 
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -27,7 +27,7 @@
 		o.noteCaller(now, key, known, p)
 		o.deliver(key, p.Raw, 0, "")
 		if e.WantNote {
-			o.tell(key, e, false)
+			o.tell(now, key, e, false)
 		}
 		return
 	}
@@ -74,7 +74,7 @@
 			o.remember(key, known)
 		}
 		if e, ok := o.offers.taken(key); ok && e.WantNote {
-			o.tell(key, &e, false)
+			o.tell(now, key, &e, false)
 		}
 	}
 	if known != nil {
@@ -120,7 +120,7 @@
 }
 
 // tell sends the balancer a note of the flow, with the load.
-func (o *Owner) tell(key flow.Key, e *parcel.Envelope, refused bool) {
+func (o *Owner) tell(now time.Time, key flow.Key, e *parcel.Envelope, refused bool) {
 	if e.Balancer.IsZero() {
 		return
 	}
@@ -137,7 +137,8 @@
 			Refused:  refused,
 			Load:     uint16(min(o.requests+o.backlog.Len(), 1<<16-1)),
 			Slots:    uint16(min(o.slots(), 1<<16-1)),
-			Took:     uint16(min(o.service.Milliseconds(), 1<<16-1)),
+			Took:     uint16(min(o.service.Microseconds()/100, 1<<16-1)),
+			Faults:   o.faults.percent(now),
 		},
 	})
 }
--- a/internal/coordination/owner/room.go
+++ b/internal/coordination/owner/room.go
@@ -90,7 +90,7 @@
 			return
 		}
 		o.resetCaller(evicted.Key, 0, Evicted)
-		o.tell(evicted.Key, &evicted.Envelope, true)
+		o.tell(now, evicted.Key, &evicted.Envelope, true)
 	}
 
 	since := now.Add(-p.Age)
@@ -100,7 +100,7 @@
 		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
 	})
 	o.actions = append(o.actions, Action{Verb: Hold, Reason: Queued, Key: key, Load: o.requests})
-	o.tell(key, e, false)
+	o.tell(now, key, e, false)
 }
 
 // expectedWait returns how long a new flow would wait, were all served in order.
--- a/internal/coordination/pick/pick.go
+++ b/internal/coordination/pick/pick.go
@@ -4,7 +4,10 @@
 // a whole service; docs/PLATFORM.md has the measurements.
 package pick
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// reportTTL is how long a told load is believed: in a second a service
@@ -15,8 +18,8 @@
 	// as one request takes. After it the upstream may well have room.
 	fullTTL = 100 * time.Millisecond
 
-	// slowFactor is from how much slower than the fastest an upstream's requests
-	// count as slow. Less is the chance of a few long requests.
+	// slowFactor is from how much slower than usual an upstream's requests count as
+	// slow. Less is the chance of a few long requests.
 	slowFactor = 1.5
 
 	// remoteCost, in requests for each slot, breaks ties in favour of the
@@ -25,6 +28,27 @@
 
 	// suspectCost is above any load.
 	suspectCost = 1000
+
+	// doubtCost is above the load of any agent that is not suspect: an upstream that
+	// seems to fail comes after the others. Those that are full hand flows on to it,
+	// so that a false alarm costs a hop and no capacity.
+	doubtCost = 500
+
+	// doubtTTL is how long a report counts for that: after it one flow tries the
+	// upstream again.
+	doubtTTL = 5 * time.Second
+
+	// maxFaults is from how many unanswered requests of a hundred an upstream
+	// seems to fail. Callers leave a few behind at any.
+	maxFaults = 20
+
+	// hastyFactor is from how much faster than the others an upstream seems to
+	// fail: errors are answered at once, and the fastest would get the most flows.
+	hastyFactor = 4
+
+	// minPeers is among how many upstreams one can be told to be hasty: of two,
+	// the other may as well be slow.
+	minPeers = 3
 )
 
 // Rule says how agents are ordered.
@@ -42,19 +66,31 @@
 // Usual is the rule that balancers follow.
 var Usual = Rule{Choices: 4, ByLoad: true, Direct: true}
 
+// Report is what an agent tells of its upstream.
+type Report struct {
+	// Requests are those that it has or that wait for it, Slots how many run at once.
+	Requests, Slots int
+
+	// Took is the mean time of a request, 0 if it has answered none.
+	Took time.Duration
+
+	// Faults is how many of a hundred requests it leaves unanswered.
+	Faults int
+}
+
 // Load is what a balancer knows of the load of one agent. The zero Load is that
 // of an agent which has told nothing.
 type Load struct {
 	requests, slots float64
 	sent            float64 // flows placed since the report
 	took            time.Duration
+	faults          int
 	at              time.Time
 }
 
-// Report takes the agent's own figures: the requests that its upstream has or
-// that wait for it, how many run at once, and the mean time of one.
-func (l *Load) Report(now time.Time, requests, slots int, took time.Duration) {
-	*l = Load{requests: float64(requests), slots: float64(max(1, slots)), took: took, at: now}
+// Report takes the agent's own figures.
+func (l *Load) Report(now time.Time, r Report) {
+	*l = Load{requests: float64(r.Requests), slots: float64(max(1, r.Slots)), took: r.Took, faults: r.Faults, at: now}
 }
 
 // Send counts a flow placed with the agent.
@@ -100,12 +136,14 @@
 // Costs returns the cost of each candidate in cost, the least for the one to try
 // first, and whether all of them are full.
 func (r Rule) Costs(now time.Time, candidates []Candidate, cost []float64) (full bool) {
-	fastest := fastest(now, candidates)
+	hasty, usual := times(now, candidates)
 	full = true
 	for i, c := range candidates {
-		cost[i] = c.cost(now, fastest)
-		if !r.ByLoad {
-			cost[i] = 0
+		if cost[i] = 0; r.ByLoad {
+			cost[i] = c.cost(now, usual)
+		}
+		if c.doubtful(now, hasty) {
+			cost[i] += doubtCost
 		}
 		if c.Suspect {
 			cost[i] += suspectCost
@@ -115,9 +153,9 @@
 	return full && r.Direct && len(candidates) > 0
 }
 
-func (c *Candidate) cost(now time.Time, fastest time.Duration) float64 {
+func (c *Candidate) cost(now time.Time, usual time.Duration) float64 {
 	cost := c.Estimate(now)
-	if slowness := float64(c.took) / float64(max(1, fastest)); slowness > slowFactor && c.Age(now) <= reportTTL {
+	if slowness := float64(c.took) / float64(max(1, usual)); usual > 0 && slowness > slowFactor && c.Age(now) <= reportTTL {
 		cost = (cost + 1/c.slots) * slowness
 	}
 	if c.Remote {
@@ -126,12 +164,31 @@
 	return cost
 }
 
-func fastest(now time.Time, candidates []Candidate) time.Duration {
-	var least time.Duration
+// doubtful reports whether the agent's upstream seems to fail requests: it leaves
+// them unanswered, or answers in less than a time that is hasty among the candidates.
+func (c *Candidate) doubtful(now time.Time, hasty time.Duration) bool {
+	if c.slots == 0 || c.Age(now) > doubtTTL {
+		return false
+	}
+	return c.faults >= maxFaults || (c.took > 0 && c.took < hasty)
+}
+
+// times returns below what mean time of requests an upstream is hasty, and the
+// usual time among the others; 0 if it cannot be told.
+func times(now time.Time, candidates []Candidate) (hasty, usual time.Duration) {
+	told := make([]time.Duration, 0, len(candidates))
 	for _, c := range candidates {
-		if c.took > 0 && c.Age(now) <= reportTTL && (least == 0 || c.took < least) {
-			least = c.took
+		if c.took > 0 && c.Age(now) <= doubtTTL {
+			told = append(told, c.took)
 		}
 	}
-	return least
+	slices.Sort(told)
+	if len(told) >= minPeers {
+		hasty = told[len(told)/2] / hastyFactor
+		told = slices.DeleteFunc(told, func(took time.Duration) bool { return took < hasty })
+	}
+	if len(told) > 0 {
+		usual = told[(len(told)-1)/2]
+	}
+	return hasty, usual
 }
--- a/internal/coordination/pick/pick_test.go
+++ b/internal/coordination/pick/pick_test.go
@@ -11,7 +11,14 @@
 
 func load(requests, slots int, took, age time.Duration) *pick.Load {
 	var l pick.Load
-	l.Report(now.Add(-age), requests, slots, took)
+	l.Report(now.Add(-age), pick.Report{Requests: requests, Slots: slots, Took: took})
+	return &l
+}
+
+// failing returns the load of an idle agent whose upstream leaves requests unanswered.
+func failing(percent int) *pick.Load {
+	var l pick.Load
+	l.Report(now, pick.Report{Slots: 5, Took: usual, Faults: percent})
 	return &l
 }
 
@@ -44,6 +51,27 @@
 		"a near one of equal load": {pick.Usual, []pick.Candidate{
 			{Load: load(1, 5, usual, 0), Remote: true}, {Load: load(1, 5, usual, 0)},
 		}, 1},
+		"not one that answers errors at once": {pick.Usual, []pick.Candidate{
+			{Load: load(0, 5, time.Millisecond, 0)}, {Load: load(3, 5, usual, 0)}, {Load: load(2, 5, usual, 0)}, {Load: load(4, 5, usual, 0)},
+		}, 2},
+		"nor two of them": {pick.Usual, []pick.Candidate{
+			{Load: load(0, 5, time.Millisecond, 0)}, {Load: load(3, 5, usual, 0)}, {Load: load(0, 5, time.Millisecond, 0)}, {Load: load(4, 5, usual, 0)},
+		}, 1},
+		"sooner than a suspect": {pick.Usual, []pick.Candidate{
+			{Load: load(0, 5, time.Millisecond, 0)}, {Load: load(1, 5, usual, 0), Suspect: true}, {Load: load(1, 5, usual, 0), Suspect: true},
+		}, 0},
+		"it is tried again after a while": {pick.Usual, []pick.Candidate{
+			{Load: load(0, 5, time.Millisecond, 6*time.Second)}, {Load: load(3, 5, usual, 0)}, {Load: load(2, 5, usual, 0)},
+		}, 0},
+		"of two, the slower may be the sick one": {pick.Usual, []pick.Candidate{
+			{Load: load(1, 5, usual, 0)}, {Load: load(0, 5, 20*usual, 0)},
+		}, 0},
+		"not one that leaves requests unanswered": {pick.Usual, []pick.Candidate{
+			{Load: failing(30)}, {Load: load(4, 5, usual, 0)},
+		}, 1},
+		"a few are left at any": {pick.Usual, []pick.Candidate{
+			{Load: failing(10)}, {Load: load(4, 5, usual, 0)},
+		}, 0},
 		"never a suspect": {pick.Usual, []pick.Candidate{
 			{Load: load(0, 5, usual, 0), Suspect: true}, {Load: load(9, 5, usual, 0)},
 		}, 1},
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -46,7 +46,9 @@
 }
 
 func (a *agent) report(now time.Time, e *parcel.Envelope) {
-	a.load.Report(now, int(e.Load), int(e.Slots), time.Duration(e.Took)*time.Millisecond)
+	a.load.Report(now, pick.Report{
+		Requests: int(e.Load), Slots: int(e.Slots), Took: time.Duration(e.Took) * 100 * time.Microsecond, Faults: int(e.Faults),
+	})
 	a.missed = 0
 	a.suspectUntil = time.Time{}
 }
--- a/internal/protocol/parcel/parcel.go
+++ b/internal/protocol/parcel/parcel.go
@@ -34,7 +34,7 @@
 const MaxRanks = 11
 
 const (
-	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 6 + 2 + 2 + 2 + 2 + 2
+	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 6 + 2 + 2 + 2 + 2 + 2 + 1
 	rankLength  = 6
 	tagLength   = 8
 
@@ -93,8 +93,10 @@
 	// that wait for it, and those that run at once.
 	Load, Slots uint16
 
-	// Took is the mean time of a request at the agent's upstream, in milliseconds.
-	Took uint16
+	// Took is the mean time of a request at the agent's upstream, in tenths of a
+	// millisecond, and Faults how many of a hundred it leaves unanswered.
+	Took   uint16
+	Faults uint8
 
 	// Best is the agent with the shortest backlog, BestLoad, of those that were
 	// full. Last says that the packet was sent there to wait.
@@ -144,7 +146,7 @@
 	dst = binary.BigEndian.AppendUint16(dst, e.Search)
 	dst = appendEndpoint(dst, e.Best)
 	dst = binary.BigEndian.AppendUint16(dst, e.BestLoad)
-	dst = binary.BigEndian.AppendUint16(dst, e.Took)
+	dst = append(binary.BigEndian.AppendUint16(dst, e.Took), e.Faults)
 	for _, rank := range e.Ranks[:e.Count] {
 		dst = appendEndpoint(dst, rank)
 	}
@@ -198,6 +200,7 @@
 	e.Best = endpointAt(datagram[34:])
 	e.BestLoad = binary.BigEndian.Uint16(datagram[40:])
 	e.Took = binary.BigEndian.Uint16(datagram[42:])
+	e.Faults = datagram[44]
 	for i := range e.Count {
 		e.Ranks[i] = endpointAt(datagram[fixedLength+i*rankLength:])
 	}
--- a/internal/transport/outlet/act.go
+++ b/internal/transport/outlet/act.go
@@ -89,7 +89,7 @@
 // observe counts the requests that ended.
 func (t *Outlet) observe() {
 	for _, done := range t.core.TakeCompletions() {
-		t.metrics.Requests.WithLabelValues(t.service, string(done.Kind), "answered").Inc()
+		t.metrics.Requests.WithLabelValues(t.service, string(done.Kind), string(done.Outcome)).Inc()
 		t.metrics.Latency.WithLabelValues(t.service, string(done.Kind)).Observe(done.Took.Seconds())
 	}
 }
