--- a/cmd/coriandershift-forward/daemon.go
+++ b/cmd/coriandershift-forward/daemon.go
@@ -66,6 +66,7 @@
 		Store:   d.store,
 		Fetcher: link.NewPlain(),
 		Seeds:   seedsOf(settings),
+		Listen:  settings.Listen,
 	})
 	return d, err
 }
@@ -76,7 +77,7 @@
 	peers.HandleFunc("GET "+link.ConfigPath, d.link.ServeConfig)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", d.metrics.Handler())
-	go func() { failed <- d.serve(d.settings.Address, peers) }()
+	go func() { failed <- d.serve(d.settings.Listen, peers) }()
 	go func() { failed <- d.serve(d.settings.Metrics, metrics) }()
 	go d.reload(ctx)
 }
--- a/internal/state/setup/forward.go
+++ b/internal/state/setup/forward.go
@@ -25,6 +25,10 @@
 	// configuration to them over TCP; IPv4 and port, the same port on all VMs.
 	Address netip.AddrPort `json:"address"`
 
+	// Listen is where these are taken if that is not Address, as behind address
+	// translation; usually not set.
+	Listen netip.AddrPort `json:"listen,omitzero"`
+
 	// Metrics serves /metrics over TCP.
 	Metrics netip.AddrPort `json:"metrics"`
 
@@ -126,6 +130,9 @@
 }
 
 func (f *Forward) fillDefaults() {
+	if !f.Listen.IsValid() {
+		f.Listen = f.Address
+	}
 	if f.Balancer != nil && f.Balancer.Withdraw == 0 {
 		f.Balancer.Withdraw = defaultForwardWithdraw
 	}
@@ -142,6 +149,7 @@
 	doc.require("domain", f.Domain != "", "must be set")
 	doc.require("logLevel", knownLevel(f.LogLevel), "must be debug, info, warn or error")
 	doc.requireIPv4("address", f.Address)
+	doc.requireIPv4("listen", f.Listen)
 	doc.require("metrics", f.Metrics.IsValid(), "must be an IP address and port")
 	doc.requireIPv4("store", f.Store)
 	key, err := hex.DecodeString(f.ClusterKey)
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -59,13 +59,19 @@
 	Store   coriandershift.Store
 	Fetcher Fetcher
 	Seeds   []netip.AddrPort
+
+	// Listen is where datagrams are taken, if not at Self's address.
+	Listen netip.AddrPort
 }
 
 // Listen opens the socket of a process.
 func Listen(o Options) (*Link, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Self.Address))
+	if !o.Listen.IsValid() {
+		o.Listen = o.Self.Address
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Listen))
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", o.Self.Address)
+		return nil, errors.Wrapf(err, "listen on %s", o.Listen)
 	}
 	growBuffers(conn)
 
