Reset lost flows sooner after all were away

And each change of any agent's weight ended all searches in doubt. Changed: an agent that has not heard its upstream looks for it before it leaves; only changes of which agents may hold flows end a search; the log names an agent that did not answer. Ruled out: agents that never came back (none was asked), the census (all agents were known at 36.1 s).

--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -24,9 +24,11 @@
 
 // Action is a decision on one packet. Reason is empty for packets of known flows.
 type Action struct {
-	Verb     Verb
-	Reason   Reason
-	Key      flow.Key
+	Verb   Verb
+	Reason Reason
+	Key    flow.Key
+
+	// To is the agent that gets the packet, or one that did not answer.
 	To       flow.Endpoint
 	Envelope parcel.Envelope
 	Packet   []byte
--- a/internal/coordination/steer/member.go
+++ b/internal/coordination/steer/member.go
@@ -65,7 +65,9 @@
 	if known != nil && known.member == *m {
 		return
 	}
-	s.members++
+	if known == nil || known.holdsOther(m) {
+		s.members++
+	}
 	if known != nil && known.member.Service != m.Service {
 		changed[s.leave(known)] = true
 		known = nil
@@ -81,6 +83,13 @@
 	changed[s.services[m.Service]] = true
 }
 
+// holdsOther reports whether the agent may hold other flows than before, going by
+// a new record of it.
+func (a *agent) holdsOther(m *roster.Member) bool {
+	return a.member.Incarnation != m.Incarnation || a.member.Service != m.Service ||
+		(a.member.State == roster.Dead) != (m.State == roster.Dead)
+}
+
 // join adds an agent to a service.
 func (s *Steer) join(a *agent, name string) {
 	svc := s.services[name]
--- a/internal/coordination/steer/member_test.go
+++ b/internal/coordination/steer/member_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
@@ -123,3 +126,35 @@
 		t.Errorf("due %v after the first, want 20 ms", second.Sub(first))
 	}
 }
+
+// While all processes started anew, agents said every moment that they took flows
+// now, and each time all searches for lost flows ended in doubt.
+func TestASearchGoesOnWhenAnAgentOnlyTakesMoreOrLess(t *testing.T) {
+	tests := map[string]struct {
+		change func(*roster.Member)
+		want   steer.Reason
+	}{
+		"takes no flows":     {func(m *roster.Member) { m.Weight = 0 }, steer.Gone},
+		"leaves":             {func(m *roster.Member) { m.State = roster.Leaving }, steer.Gone},
+		"has no flows":       {func(m *roster.Member) { m.Empty = true }, steer.Gone},
+		"is another process": {func(m *roster.Member) { m.Incarnation++ }, steer.NotFoundUnsure},
+		"is new":             {func(m *roster.Member) { m.Address = endpoint(12).AddrPort() }, steer.NotFoundUnsure},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := settled(agents("svc", 10, 11)...)
+			questions := query(t, s, start, s.FromCaller(start, data(1))[0])
+			if len(questions) != 2 {
+				t.Fatalf("%d agents were asked", len(questions))
+			}
+			reply(s, start, questions[0], parcel.NotHeld)
+			m := agents("svc", 10)[0]
+			test.change(&m)
+			s.Change(start, []roster.Member{m})
+			got := reply(s, start, questions[1], parcel.NotHeld)
+			if diff := cmp.Diff([]steer.Reason{test.want}, kinds(got)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -149,5 +149,14 @@
 			continue
 		}
 		s.end(now, key, f, NotFoundSilent)
+		s.out[len(s.out)-1].To = q.silent()
 	}
 }
+
+// silent returns one of the agents that have not answered.
+func (q *query) silent() flow.Endpoint {
+	for endpoint := range q.waiting {
+		return endpoint
+	}
+	return flow.Endpoint{}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -79,7 +79,7 @@
 	routes   map[flow.Endpoint]*config.Route
 	services map[string]*service
 	agents   map[flow.Endpoint]*agent
-	members  uint64 // grows with every change of the agents
+	members  uint64 // grows with every change of the agents that may hold flows
 
 	// former are the services that addresses led to in earlier configurations.
 	former map[flow.Endpoint][]string
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -308,8 +308,12 @@
 		return
 	}
 	n.metrics.Dropped.WithLabelValues(string(a.Reason)).Inc()
-	n.log.Info("flow not routed", "flow", a.Key, "reason", string(a.Reason), "reset", a.Verb == steer.Reset,
-		"revision", n.revision, "agents", n.core.Agents())
+	fields := []any{"flow", a.Key, "reason", string(a.Reason), "reset", a.Verb == steer.Reset,
+		"revision", n.revision, "agents", n.core.Agents()}
+	if !a.To.IsZero() {
+		fields = append(fields, "silent", a.To)
+	}
+	n.log.Info("flow not routed", fields...)
 }
 
 func (n *Inlet) write(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
--- a/internal/transport/outlet/act.go
+++ b/internal/transport/outlet/act.go
@@ -114,21 +114,26 @@
 	}
 }
 
-// probe finds out whether a silent upstream is gone: a refused connection shows
+// look finds out whether a silent upstream is gone: a refused connection shows
 // that nothing listens at its address.
-func (t *Outlet) probe() {
+func (t *Outlet) look() {
 	conn, err := net.DialTimeout("tcp4", t.upstream.String(), probeTimeout)
 	if err == nil {
 		conn.Close()
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		t.mu.Lock()
-		t.log.Warn("upstream gone", "address", t.upstream, "error", err)
-		t.carryOut(t.core.Ended())
-		t.weigh()
-		t.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.log.Warn("upstream gone", "address", t.upstream, "error", err)
+	t.carryOut(t.core.Ended())
+	t.weigh()
+}
 
+// probe looks for a silent upstream, and lets some time pass until the next one.
+func (t *Outlet) probe() {
+	t.look()
 	time.Sleep(probePause)
 	t.mu.Lock()
 	t.probing = false
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -146,6 +146,13 @@
 // Stop hands new flows to others and waits until the requests in progress have
 // ended, at most for a time.
 func (t *Outlet) Stop(most time.Duration) {
+	t.mu.Lock()
+	unheard := t.core.Upstream() == nil && !t.core.Empty()
+	t.mu.Unlock()
+	if unheard {
+		t.look() // or others would look for its flows here when nobody answers any more
+	}
+
 	t.mu.Lock()
 	t.carryOut(t.core.Stop(time.Now()))
 	t.weigh()
--- /dev/null
+++ b/internal/transport/outlet/outlet_test.go
@@ -0,0 +1,49 @@
+package outlet_test
+
+import (
+	"io"
+	"log/slog"
+	"net/netip"
+	"testing"
+
+	"github.com/coriandershift/coriandershift/internal/standin/ports"
+	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+	"github.com/coriandershift/coriandershift/internal/transport/link"
+	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/internal/transport/outlet"
+	"github.com/coriandershift/coriandershift/platform"
+)
+
+// An agent that was started and stopped beside an upstream that had ended left
+// without saying so: for five seconds callers of lost flows heard nothing.
+func TestAnAgentThatNeverHeardItsUpstreamLooksForItBeforeItLeaves(t *testing.T) {
+	var free [3]netip.AddrPort
+	for i := range free {
+		address, err := ports.UDP()
+		if err != nil {
+			t.Fatal(err)
+		}
+		free[i] = address
+	}
+	self := roster.Member{
+		Address: free[0], Role: roster.Agent, Service: "svc", Domain: "a", Incarnation: 1,
+	}
+	keys := keyset.Set{Cluster: make([]byte, keyset.KeyLength)}
+	log, metrics := slog.New(slog.NewTextHandler(io.Discard, nil)), metric.New()
+	l, err := link.Listen(link.Options{Self: self, Keys: keys, Log: log, Metrics: metrics})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := outlet.Listen(outlet.Options{
+		Log: log, Metrics: metrics, Link: l, Packets: platform.Packets{}, Keys: keys, Service: "svc",
+		Upstream: free[1], Outbound: free[2], CallerPort: 9,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Stop(0)
+	if got := l.Self(); got.State != roster.Dead || !got.Empty {
+		t.Errorf("it leaves as %v, empty %v", got.State, got.Empty)
+	}
+}
