Split the balancer's files by noun; apply member changes under one lock

Found on the way: two calls of apply could take changes of members in one order and use them in the other, so that an older record stayed; the lock is held all the while now.

--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -51,7 +51,7 @@
 // oriented reports whether enough is known for placing new flows: were few of the
 // agents known, these would get all flows.
 func (s *Steer) oriented() bool {
-	if s.knowing {
+	if s.knowsEnough {
 		return true
 	}
 	known := 0
@@ -60,6 +60,6 @@
 			known++
 		}
 	}
-	s.knowing = s.settled || (s.revision > 0 && s.Agents() > 0 && 2*known >= len(s.expected))
-	return s.knowing
+	s.knowsEnough = s.settled || (s.revision > 0 && s.Agents() > 0 && 2*known >= len(s.expected))
+	return s.knowsEnough
 }
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -36,6 +36,7 @@
 		candidates[i] = pick.Candidate{Load: &a.load, Remote: a.member.Domain != s.domain, Suspect: now.Before(a.suspectUntil)}
 	}
 	full := s.rule.Costs(now, candidates[:count], costs[:count])
+	// An insertion sort keeps the ranks' order among equals and costs no memory.
 	for i := 1; i < count; i++ {
 		for j := i; j > 0 && costs[j] < costs[j-1]; j-- {
 			costs[j], costs[j-1] = costs[j-1], costs[j]
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -88,8 +88,8 @@
 	opens map[flow.Key]*open
 
 	// held are packets from before the balancer knew enough for placing flows.
-	held    []held
-	knowing bool
+	held        []held
+	knowsEnough bool
 
 	// oldestOpen is not after the time of any of opens.
 	oldestOpen time.Time
@@ -185,68 +185,3 @@
 func (s *Steer) Flows() int {
 	return len(s.flows)
 }
-
-// FromCaller decides on a packet that the fabric delivered. The actions are
-// valid until the next call.
-func (s *Steer) FromCaller(now time.Time, p *flow.Packet) []Action {
-	s.out = s.out[:0]
-	key := p.FromCaller()
-	if s.oriented() || !s.hold(now, key, p) {
-		s.fromCaller(now, key, p)
-	}
-	return s.out
-}
-
-func (s *Steer) fromCaller(now time.Time, key flow.Key, p *flow.Packet) {
-	route := s.routes[key.Service]
-	switch {
-	case route == nil:
-		s.refuse(key, p, NoRoute)
-	case p.Opening():
-		s.opening(now, key, p, route)
-	default:
-		s.following(now, key, p, route)
-	}
-}
-
-// following routes a packet of a flow that should be open.
-func (s *Steer) following(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) {
-	e := s.flows[key]
-	if e != nil {
-		e.at = now
-		e.closing = e.closing || p.Finish || p.Reset
-		s.send(Action{Key: key, To: e.agent, Envelope: s.envelope(route, key, false), Packet: p.Raw})
-		return
-	}
-	s.lookup(now, key, p, route)
-}
-
-func (s *Steer) envelope(route *config.Route, key flow.Key, wantNote bool) parcel.Envelope {
-	return parcel.Envelope{
-		Kind:     parcel.Carry,
-		Revision: s.revision,
-		Service:  config.ServiceHash(route.Pick(key.Hash())),
-		Balancer: s.self,
-		WantNote: wantNote,
-	}
-}
-
-func (s *Steer) refuse(key flow.Key, p *flow.Packet, reason Reason) {
-	if p.Reset || s.revision == 0 {
-		s.out = append(s.out, Action{Verb: Drop, Reason: reason, Key: key})
-		return
-	}
-	s.out = append(s.out, Action{Verb: Reset, Reason: reason, Key: key, Sequence: resetSequence(p)})
-}
-
-func resetSequence(p *flow.Packet) uint32 {
-	if p.Opening() {
-		return 0
-	}
-	return p.Acknowledged
-}
-
-func (s *Steer) send(a Action) {
-	a.Verb = Send
-	s.out = append(s.out, a)
-}
--- /dev/null
+++ b/internal/transport/inlet/act.go
@@ -0,0 +1,74 @@
+package inlet
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/steer"
+	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
+)
+
+// carryOut must be called with the lock held.
+func (n *Inlet) carryOut(actions []steer.Action) {
+	for i := range actions {
+		n.act(&actions[i])
+	}
+	due, waiting := n.core.Due()
+	if waiting && (n.due.IsZero() || due.Before(n.due)) {
+		n.due = due
+		n.timer.Reset(time.Until(due))
+	}
+}
+
+func (n *Inlet) act(a *steer.Action) {
+	switch a.Verb {
+	case steer.Send:
+		n.buffer = n.codec.Append(n.buffer[:0], &a.Envelope, a.Packet)
+		n.write(n.link.Conn(), n.buffer, a.To.AddrPort())
+	case steer.Reset:
+		n.buffer = n.packets.Reset(n.buffer[:0], a.Key, a.Sequence)
+		n.write(n.callers, n.buffer, netip.AddrPortFrom(netip.AddrFrom4(a.Key.Caller.IP), n.callerPort()))
+	}
+	n.note(a)
+}
+
+// note logs and counts a decision. Packets of known flows are only counted.
+func (n *Inlet) note(a *steer.Action) {
+	if a.Envelope.Kind == parcel.Query {
+		n.metrics.Datagrams.WithLabelValues("query").Inc()
+		return
+	}
+	if a.Reason == "" {
+		n.metrics.Datagrams.WithLabelValues("known").Inc()
+		return
+	}
+	n.metrics.Datagrams.WithLabelValues(string(a.Reason)).Inc()
+	if a.Verb == steer.Send {
+		n.log.Info("flow routed", "flow", a.Key, "reason", string(a.Reason), "agent", a.To,
+			"load", a.Load, "loadAge", a.LoadAge.Round(time.Millisecond), "revision", n.revision)
+		return
+	}
+	if a.Verb == steer.Hold {
+		n.log.Info("flow held", "flow", a.Key, "reason", string(a.Reason), "revision", n.revision, "agents", n.core.Agents())
+		return
+	}
+	n.metrics.Dropped.WithLabelValues(string(a.Reason)).Inc()
+	fields := []any{"flow", a.Key, "reason", string(a.Reason), "reset", a.Verb == steer.Reset,
+		"revision", n.revision, "agents", n.core.Agents()}
+	if !a.To.IsZero() {
+		fields = append(fields, "silent", a.To)
+	}
+	n.log.Info("flow not routed", fields...)
+}
+
+func (n *Inlet) write(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		n.metrics.Dropped.WithLabelValues("writeFailed").Inc()
+		n.log.Debug("datagram not sent", "to", to, "error", err)
+	}
+}
+
+func (n *Inlet) callerPort() uint16 {
+	return n.callers.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,9 +32,6 @@
 
 	// settleEvery is the same while this process does not know all agents yet.
 	settleEvery = 100 * time.Millisecond
-
-	// censusPause is the time between two attempts to read the census.
-	censusPause = time.Second
 )
 
 // Inlet is one balancer. It is safe for concurrent use.
@@ -172,15 +168,17 @@
 	}
 }
 
+// apply holds the lock all the while, so that of two calls the later one has the
+// later records.
 func (n *Inlet) apply() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	cfg, changed := n.link.Config(), n.link.TakeChanged()
 	for _, m := range changed {
 		n.log.Info("member changed", "member", m.Name, "address", m.Address, "state", m.State.String(),
 			"weight", m.Weight, "incarnation", m.Incarnation, "sequence", m.Sequence)
 	}
 
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if cfg.Revision != n.revision {
 		n.revision = cfg.Revision
 		n.core.Configure(cfg)
@@ -189,37 +187,6 @@
 	n.metrics.Members.Set(float64(n.link.Len()))
 }
 
-// expect learns which members were known before this process started. Without
-// that it takes long until it is sure of its agents, so it asks until the store answers.
-func (n *Inlet) expect(ctx context.Context) {
-	for ctx.Err() == nil {
-		members, err := n.link.Census(ctx)
-		if err == nil {
-			n.expected(&members)
-			return
-		}
-		n.log.Info("no census", "error", err)
-		if errors.Is(err, coriandershift.ErrNotFound) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(censusPause):
-		}
-	}
-}
-
-func (n *Inlet) expected(members *link.Census) {
-	var endpoints []flow.Endpoint
-	for _, a := range slices.Concat(members.Balancers, members.Agents) {
-		endpoints = append(endpoints, flow.EndpointOf(a))
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.core.Expect(endpoints)
-	n.log.Info("census read", "members", len(endpoints))
-}
-
 func (n *Inlet) tick(ctx context.Context) {
 	for {
 		select {
@@ -262,67 +229,3 @@
 	}
 	return settleEvery
 }
-
-// carryOut must be called with the lock held.
-func (n *Inlet) carryOut(actions []steer.Action) {
-	for i := range actions {
-		n.act(&actions[i])
-	}
-	due, waiting := n.core.Due()
-	if waiting && (n.due.IsZero() || due.Before(n.due)) {
-		n.due = due
-		n.timer.Reset(time.Until(due))
-	}
-}
-
-func (n *Inlet) act(a *steer.Action) {
-	switch a.Verb {
-	case steer.Send:
-		n.buffer = n.codec.Append(n.buffer[:0], &a.Envelope, a.Packet)
-		n.write(n.link.Conn(), n.buffer, a.To.AddrPort())
-	case steer.Reset:
-		n.buffer = n.packets.Reset(n.buffer[:0], a.Key, a.Sequence)
-		n.write(n.callers, n.buffer, netip.AddrPortFrom(netip.AddrFrom4(a.Key.Caller.IP), n.callerPort()))
-	}
-	n.note(a)
-}
-
-// note logs and counts a decision. Packets of known flows are only counted.
-func (n *Inlet) note(a *steer.Action) {
-	if a.Envelope.Kind == parcel.Query {
-		n.metrics.Datagrams.WithLabelValues("query").Inc()
-		return
-	}
-	if a.Reason == "" {
-		n.metrics.Datagrams.WithLabelValues("known").Inc()
-		return
-	}
-	n.metrics.Datagrams.WithLabelValues(string(a.Reason)).Inc()
-	if a.Verb == steer.Send {
-		n.log.Info("flow routed", "flow", a.Key, "reason", string(a.Reason), "agent", a.To,
-			"load", a.Load, "loadAge", a.LoadAge.Round(time.Millisecond), "revision", n.revision)
-		return
-	}
-	if a.Verb == steer.Hold {
-		n.log.Info("flow held", "flow", a.Key, "reason", string(a.Reason), "revision", n.revision, "agents", n.core.Agents())
-		return
-	}
-	n.metrics.Dropped.WithLabelValues(string(a.Reason)).Inc()
-	fields := []any{"flow", a.Key, "reason", string(a.Reason), "reset", a.Verb == steer.Reset,
-		"revision", n.revision, "agents", n.core.Agents()}
-	if !a.To.IsZero() {
-		fields = append(fields, "silent", a.To)
-	}
-	n.log.Info("flow not routed", fields...)
-}
-
-func (n *Inlet) write(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
-	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
-		n.metrics.Dropped.WithLabelValues("writeFailed").Inc()
-		n.log.Debug("datagram not sent", "to", to, "error", err)
-	}
-}
-
-func (n *Inlet) callerPort() uint16 {
-	return n.callers.LocalAddr().(*net.UDPAddr).AddrPort().Port()
-}
