--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -174,8 +174,3 @@
 	}
 	return n.nearby
 }
-
-func (n *Node) isOnRing() bool {
-	m, ok := n.roster.Get(n.self.Address)
-	return ok && m.State != roster.Dead
-}
--- a/internal/coordination/model/load_test.go
+++ b/internal/coordination/model/load_test.go
@@ -38,8 +38,8 @@
 	// maxBackOff bounds the pause of a caller after a reset.
 	maxBackOff = 100 * time.Millisecond
 
-	toFabric   = 3 * time.Millisecond
-	betweenVMs = time.Millisecond
+	toFabric = 3 * time.Millisecond
+	interVM  = time.Millisecond
 )
 
 // play is one experiment.
@@ -318,7 +318,7 @@
 
 func (f *farm) toAgent(to flow.Endpoint, e parcel.Envelope, packet []byte) {
 	f.messages++
-	f.after(f.jitter(betweenVMs), func() {
+	f.after(f.jitter(interVM), func() {
 		if f.down || e.Kind == parcel.Query {
 			return
 		}
@@ -345,7 +345,7 @@
 		case owner.Tell:
 			f.messages++
 			payload := action.Key.Append(nil)
-			f.after(f.jitter(betweenVMs), func() {
+			f.after(f.jitter(interVM), func() {
 				if !f.down {
 					f.balancers[e.Balancer.IP[3]].FromAgent(f.now, &e, payload, unpack)
 				}
