--- a/cmd/coriandershift-forward/daemon.go
+++ b/cmd/coriandershift-forward/daemon.go
@@ -27,6 +27,10 @@
 	idleTimeout = 10 * time.Second
 )
 
+// settingsEvery is how often a settings file is looked at that may have changed
+// without a signal; what it can change is where a process turns first when it is alone.
+const settingsEvery = 10 * time.Second
+
 type settingsArgs struct {
 	Settings string `arg:"--settings,env:CORIANDERSHIFT_SETTINGS,required" help:"settings file, JSON with comments"`
 }
@@ -99,20 +103,29 @@
 }
 
 // reload takes settings that can change in a running process into use whenever
-// they are said to have changed. All others are said to need a restart.
+// they are said to have changed, or are found to have. All others need a restart.
 func (d *daemon) reload(ctx context.Context) {
+	path := balancerArgs.Settings + agentArgs.Settings // one of them is set
+	known := stateOf(path)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.hangups:
-			d.reloadOnce()
+		case <-ticker.C:
+			if stateOf(path) == known {
+				continue
+			}
 		}
+		known = stateOf(path)
+		d.reloadOnce(path)
 	}
 }
 
-func (d *daemon) reloadOnce() {
-	settings, err := setup.LoadForward(balancerArgs.Settings + agentArgs.Settings)
+func (d *daemon) reloadOnce(path string) {
+	settings, err := setup.LoadForward(path)
 	if err != nil {
 		d.log.Warn("settings not reloaded", "error", err)
 		return
@@ -121,6 +134,22 @@
 	d.log.Info("settings reloaded", "seeds", len(settings.Seeds))
 }
 
+// fileState tells whether a file has changed.
+type fileState struct {
+	size     int64
+	modified time.Time
+}
+
+// stateOf returns the zero state for a file that cannot be read, so that it is
+// tried again once it can.
+func stateOf(path string) fileState {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileState{}
+	}
+	return fileState{size: info.Size(), modified: info.ModTime()}
+}
+
 // untilSignal returns a context that ends with SIGTERM or SIGINT.
 func untilSignal() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
