Keep one copy of what balancers, agents and commands share

A balancer takes changes of members into use at each tick only until it knows all agents, as before the agreement did it for good. A revision, a cache of near balancers and an accessor that only a test used are gone.

--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -74,8 +74,7 @@
 	heard   map[netip.AddrPort]contact
 	rumours map[netip.AddrPort]int
 	ring    []roster.Member
-	nearby  []roster.Member // those of the own failure domain, as of nearAt
-	nearAt  uint64
+	nearby  []roster.Member // the others of the own failure domain
 	watched map[netip.AddrPort]time.Time
 	ringAt  uint64
 
--- a/internal/coordination/member/soak_test.go
+++ b/internal/coordination/member/soak_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/standin/number"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
@@ -20,7 +19,7 @@
 // balancer may give up the flows of an agent that was up and reachable for
 // everybody. SOAK_SEED and SOAK_RUNS choose other seeds.
 func TestRandomFaults(t *testing.T) {
-	first, runs := numberFrom(t, "SOAK_SEED", 1), numberFrom(t, "SOAK_RUNS", 6)
+	first, runs := number.From(t, "SOAK_SEED", 1), number.From(t, "SOAK_RUNS", 6)
 	for seed := first; seed < first+runs; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			soak(t, uint64(seed))
@@ -28,19 +27,6 @@
 	}
 }
 
-func numberFrom(t *testing.T, name string, otherwise int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return otherwise
-	}
-	number, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatalf("%s: %v", name, err)
-	}
-	return number
-}
-
 func soak(t *testing.T, seed uint64) {
 	f := newFleet(t, seed, 7, 28)
 	f.run(20 * time.Second)
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -136,13 +136,9 @@
 // news leaves the failure domain, the others from the own one, where bytes cost
 // nothing, if that has enough.
 func (n *Node) peers(count int) []netip.AddrPort {
-	near := n.near()
-	if len(near) < count {
-		near = nil
-	}
 	chosen := n.pick(nil, n.ring, min(count, 1))
-	if near != nil {
-		return n.pick(chosen, near, count)
+	if len(n.nearby) >= count {
+		return n.pick(chosen, n.nearby, count)
 	}
 	return n.pick(chosen, n.ring, count)
 }
@@ -160,17 +156,3 @@
 	}
 	return chosen
 }
-
-// near returns the other balancers of the own failure domain.
-func (n *Node) near() []roster.Member {
-	if n.nearAt != n.ringAt || n.nearby == nil {
-		n.nearAt = n.ringAt
-		n.nearby = []roster.Member{}
-		for i := range n.ring {
-			if n.ring[i].Domain == n.self.Domain && n.ring[i].Address != n.self.Address {
-				n.nearby = append(n.nearby, n.ring[i])
-			}
-		}
-	}
-	return n.nearby
-}
--- a/internal/coordination/member/watch.go
+++ b/internal/coordination/member/watch.go
@@ -18,6 +18,12 @@
 
 	n.ring = n.roster.Balancers()
 	roster.RingOrder(n.ring)
+	n.nearby = nil
+	for _, m := range n.ring {
+		if m.Domain == n.self.Domain && m.Address != n.self.Address {
+			n.nearby = append(n.nearby, m)
+		}
+	}
 
 	watched := map[netip.AddrPort]time.Time{}
 	for _, m := range n.roster.Members() {
--- a/internal/coordination/model/load_test.go
+++ b/internal/coordination/model/load_test.go
@@ -149,12 +149,17 @@
 	return f
 }
 
+// agentAt returns the address of an agent.
+func agentAt(i int) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{10, 0, 2, byte(i)}, Port: 7000}
+}
+
 // boot starts all programs and upstreams anew.
 func (f *farm) boot() {
 	f.epoch++
 	f.balancers, f.agents, f.servers = nil, nil, nil
 	for i := range loadAgents {
-		self := flow.Endpoint{IP: [4]byte{10, 0, 2, byte(i)}, Port: 7000}
+		self := agentAt(i)
 		agent := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, f.now)
 		f.agents = append(f.agents, agent)
 		s := &server{index: i, flows: map[flow.Key]uint32{}, born: f.now, epoch: f.epoch}
@@ -164,9 +169,9 @@
 		f.tickAgent(i, agent)
 	}
 	var members []roster.Member
-	for _, a := range f.agents {
+	for i := range f.agents {
 		members = append(members, roster.Member{
-			Address: a.Self().AddrPort(), Role: roster.Agent, Service: "svc", Domain: "a", State: roster.Alive,
+			Address: agentAt(i).AddrPort(), Role: roster.Agent, Service: "svc", Domain: "a", State: roster.Alive,
 			Weight: roster.MaxWeight, Incarnation: uint64(f.epoch),
 		})
 	}
--- a/internal/coordination/model/model_test.go
+++ b/internal/coordination/model/model_test.go
@@ -1,14 +1,13 @@
 package model_test
 
 import (
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
 	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
+	"github.com/coriandershift/coriandershift/internal/standin/number"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -311,7 +310,7 @@
 // TestModel plays minutes of virtual time. MODEL_FIRST, MODEL_SEEDS and
 // MODEL_MINUTES choose other seeds and longer runs.
 func TestModel(t *testing.T) {
-	first, seeds, minutes := number(t, "MODEL_FIRST", 1), number(t, "MODEL_SEEDS", 6), number(t, "MODEL_MINUTES", 2)
+	first, seeds, minutes := number.From(t, "MODEL_FIRST", 1), number.From(t, "MODEL_SEEDS", 6), number.From(t, "MODEL_MINUTES", 2)
 	for seed := first; seed < first+seeds; seed++ {
 		w := newWorld(t, uint64(seed))
 		w.run(5 * time.Second)
@@ -346,16 +345,3 @@
 		}
 	}
 }
-
-func number(t *testing.T, name string, usual int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return usual
-	}
-	value, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return value
-}
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -163,8 +163,3 @@
 	o.finished = nil
 	return done
 }
-
-// Self returns the agent's own address.
-func (o *Owner) Self() flow.Endpoint {
-	return o.settings.Self
-}
--- a/internal/coordination/pick/pick.go
+++ b/internal/coordination/pick/pick.go
@@ -64,10 +64,11 @@
 }
 
 // Usual is the rule that balancers follow.
-var Usual = Rule{Choices: usualChoices, ByLoad: true, Direct: true}
+var Usual = Rule{Choices: MaxChoices, ByLoad: true, Direct: true}
 
-// usualChoices is within the ranks along which an unknown flow is looked for first.
-const usualChoices = 4
+// MaxChoices bounds Rule.Choices. It is within the ranks along which an unknown
+// flow is looked for first.
+const MaxChoices = 4
 
 // Report is what an agent tells of its upstream.
 type Report struct {
@@ -179,7 +180,7 @@
 // times returns below what mean time of requests an upstream is hasty, and the
 // usual time among the others; 0 if it cannot be told.
 func times(now time.Time, candidates []Candidate) (hasty, usual time.Duration) {
-	var room [usualChoices]time.Duration // kept off the heap
+	var room [MaxChoices]time.Duration // kept off the heap
 	told := room[:0]
 	for _, c := range candidates {
 		if c.took > 0 && c.Age(now) <= doubtTTL {
--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -46,7 +46,7 @@
 func (s *Steer) envelope(route *config.Route, key flow.Key, wantNote bool) parcel.Envelope {
 	return parcel.Envelope{
 		Kind:     parcel.Carry,
-		Revision: s.revision,
+		Revision: s.cfg.Revision,
 		Service:  config.ServiceHash(route.Pick(key.Hash())),
 		Balancer: s.self,
 		WantNote: wantNote,
@@ -54,7 +54,7 @@
 }
 
 func (s *Steer) refuse(key flow.Key, p *flow.Packet, reason Reason) {
-	if p.Reset || s.revision == 0 {
+	if p.Reset || s.cfg.Revision == 0 {
 		s.out = append(s.out, Action{Verb: Drop, Reason: reason, Key: key})
 		return
 	}
--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -60,6 +60,6 @@
 			known++
 		}
 	}
-	s.knowsEnough = s.settled || (s.revision > 0 && s.Agents() > 0 && 2*known >= len(s.expected))
+	s.knowsEnough = s.settled || (s.cfg.Revision > 0 && s.Agents() > 0 && 2*known >= len(s.expected))
 	return s.knowsEnough
 }
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -23,12 +23,12 @@
 // choose returns the agents to try for a new flow, the best first, and whether
 // all of them are known to be full.
 func (s *Steer) choose(now time.Time, hash uint64, svc *service) ([]*agent, bool) {
-	var order [maxChoices]int
-	var scores [maxChoices]uint64
+	var order [pick.MaxChoices]int
+	var scores [pick.MaxChoices]uint64
 	count := rank.Top(hash, svc.eligible, order[:s.rule.Choices], scores[:s.rule.Choices])
 
-	var candidates [maxChoices]pick.Candidate
-	var costs [maxChoices]float64
+	var candidates [pick.MaxChoices]pick.Candidate
+	var costs [pick.MaxChoices]float64
 	chosen := make([]*agent, count)
 	for i, place := range order[:count] {
 		a := svc.agents[place]
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -38,7 +38,7 @@
 		q.waiting[a.endpoint] = true
 		s.send(Action{
 			To: a.endpoint, Packet: payload,
-			Envelope: parcel.Envelope{Kind: parcel.Query, Search: s.queryID, Balancer: s.self, Revision: s.revision},
+			Envelope: parcel.Envelope{Kind: parcel.Query, Search: s.queryID, Balancer: s.self, Revision: s.cfg.Revision},
 		})
 	}
 }
--- a/internal/coordination/steer/settle.go
+++ b/internal/coordination/steer/settle.go
@@ -83,7 +83,7 @@
 // Ready reports whether packets would be routed right. Where others go on, it
 // takes until all agents are known; when all started anew, somebody has to begin.
 func (s *Steer) Ready() bool {
-	if s.revision == 0 || s.Agents() == 0 {
+	if s.cfg.Revision == 0 || s.Agents() == 0 {
 		return false
 	}
 	for _, settled := range s.balancers {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -29,10 +29,6 @@
 	// lack processor time, so that notes may wait unread.
 	lateTick = 20 * time.Millisecond
 
-	// maxChoices bounds among how many of a flow's ranks its agent is chosen. A
-	// flow is found again within the ranks an envelope can name.
-	maxChoices = 4
-
 	// maxFlows bounds the cache; about 100 bytes each.
 	maxFlows = 65536
 
@@ -74,7 +70,6 @@
 	rule    pick.Rule
 
 	cfg      *config.Config
-	revision uint64
 	idle     time.Duration
 	routes   map[flow.Endpoint]*config.Route
 	services map[string]*service
@@ -146,17 +141,16 @@
 // Option changes a new Steer.
 type Option func(*Steer)
 
-// Placing sets how agents are chosen for new flows. Rule.Choices is at most 4.
+// Placing sets how agents are chosen for new flows. Rule.Choices is at most pick.MaxChoices.
 func Placing(rule pick.Rule) Option {
 	return func(s *Steer) {
-		rule.Choices = min(rule.Choices, maxChoices)
+		rule.Choices = min(rule.Choices, pick.MaxChoices)
 		s.rule = rule
 	}
 }
 
 // Configure takes a newer configuration into use.
 func (s *Steer) Configure(cfg *config.Config) {
-	s.revision = cfg.Revision
 	if cfg.IdleTimeout > 0 {
 		s.idle = cfg.IdleTimeout.Duration()
 	}
--- /dev/null
+++ b/internal/standin/number/number.go
@@ -0,0 +1,22 @@
+// Package number reads the seeds and lengths of long tests from the environment.
+package number
+
+import (
+	"os"
+	"strconv"
+	"testing"
+)
+
+// From returns the number in a variable, or usual if it is not set.
+func From(t testing.TB, name string, usual int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return usual
+	}
+	value, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return value
+}
--- a/internal/transport/inlet/act.go
+++ b/internal/transport/inlet/act.go
@@ -25,10 +25,10 @@
 	switch a.Verb {
 	case steer.Send:
 		n.buffer = n.codec.Append(n.buffer[:0], &a.Envelope, a.Packet)
-		n.write(n.link.Conn(), n.buffer, a.To.AddrPort())
+		n.link.Write(n.link.Conn(), n.buffer, a.To.AddrPort())
 	case steer.Reset:
 		n.buffer = n.packets.Reset(n.buffer[:0], a.Key, a.Sequence)
-		n.write(n.callers, n.buffer, netip.AddrPortFrom(netip.AddrFrom4(a.Key.Caller.IP), n.callerPort()))
+		n.link.Write(n.callers, n.buffer, netip.AddrPortFrom(netip.AddrFrom4(a.Key.Caller.IP), n.callerPort()))
 	}
 	n.note(a)
 }
@@ -62,13 +62,6 @@
 	n.log.Info("flow not routed", fields...)
 }
 
-func (n *Inlet) write(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
-	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
-		n.metrics.Dropped.WithLabelValues("writeFailed").Inc()
-		n.log.Debug("datagram not sent", "to", to, "error", err)
-	}
-}
-
 func (n *Inlet) callerPort() uint16 {
 	return n.callers.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 }
--- a/internal/transport/inlet/inlet.go
+++ b/internal/transport/inlet/inlet.go
@@ -14,7 +14,6 @@
 
 	"github.com/coriandershift/coriandershift"
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
-	"github.com/coriandershift/coriandershift/internal/protocol/encap"
 	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
@@ -24,9 +23,6 @@
 )
 
 const (
-	// maxDatagram holds the longest packet in its longest envelope, in bytes.
-	maxDatagram = 2048
-
 	// sweepEvery is the time between two ticks without anything due.
 	sweepEvery = time.Second
 
@@ -82,7 +78,7 @@
 		codec:   parcel.New(o.Keys),
 		callers: callers,
 		core:    steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now()),
-		buffer:  make([]byte, 0, maxDatagram),
+		buffer:  make([]byte, 0, link.MaxDatagram),
 	}, nil
 }
 
@@ -96,7 +92,7 @@
 
 	failed := make(chan error, 2)
 	go func() { failed <- n.readCallers() }()
-	go func() { failed <- n.readLink() }()
+	go func() { failed <- n.link.Read(n.fromAgent) }()
 	select {
 	case <-ctx.Done():
 		return nil
@@ -113,7 +109,7 @@
 }
 
 func (n *Inlet) readCallers() error {
-	buffer := make([]byte, maxDatagram)
+	buffer := make([]byte, link.MaxDatagram)
 	for {
 		count, _, err := n.callers.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -133,27 +129,15 @@
 	}
 }
 
-func (n *Inlet) readLink() error {
-	buffer := make([]byte, maxDatagram)
-	for {
-		count, _, err := n.link.Conn().ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			return errors.Wrap(err, "read from the other processes")
-		}
-		if count > 0 && buffer[0] == byte(encap.Control) {
-			n.link.Control(buffer[:count])
-			continue
-		}
-
-		e, payload, err := n.codec.Open(buffer[:count])
-		if err != nil {
-			n.metrics.Dropped.WithLabelValues(string(steer.Malformed)).Inc()
-			continue
-		}
-		n.mu.Lock()
-		n.carryOut(n.core.FromAgent(time.Now(), &e, payload, n.packets.Parse))
-		n.mu.Unlock()
+func (n *Inlet) fromAgent(datagram []byte) {
+	e, payload, err := n.codec.Open(datagram)
+	if err != nil {
+		n.metrics.Dropped.WithLabelValues(string(steer.Malformed)).Inc()
+		return
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.carryOut(n.core.FromAgent(time.Now(), &e, payload, n.packets.Parse))
 }
 
 // follow takes changes of the configuration and the members into use.
@@ -199,7 +183,7 @@
 }
 
 func (n *Inlet) tickOnce() {
-	agreed := n.link.Agreed()
+	agreed := !n.settled && n.link.Agreed() // only this goroutine sets settled
 	if agreed {
 		n.apply() // what was agreed on counts from here on
 	}
--- a/internal/transport/outlet/act.go
+++ b/internal/transport/outlet/act.go
@@ -40,23 +40,23 @@
 	switch a.Verb {
 	case owner.Deliver:
 		t.packets.Mark(a.Packet, a.Tag)
-		t.write(t.conn, a.Packet, t.upstream)
+		t.link.Write(t.conn, a.Packet, t.upstream)
 	case owner.Answer:
-		t.write(t.conn, a.Packet, t.caller(a))
+		t.link.Write(t.conn, a.Packet, t.caller(a))
 	case owner.Forward:
 		t.packets.Mark(a.Packet, 0)
 		t.buffer = t.codec.Append(t.buffer[:0], &a.Envelope, a.Packet)
-		t.write(t.link.Conn(), t.buffer, a.To.AddrPort())
+		t.link.Write(t.link.Conn(), t.buffer, a.To.AddrPort())
 	case owner.Tell:
 		payload := a.Packet
 		if payload == nil {
 			payload = a.Key.Append(nil)
 		}
 		t.buffer = t.codec.Append(t.buffer[:0], &a.Envelope, payload)
-		t.write(t.link.Conn(), t.buffer, a.To.AddrPort())
+		t.link.Write(t.link.Conn(), t.buffer, a.To.AddrPort())
 	case owner.Reset:
 		t.buffer = t.packets.Reset(t.buffer[:0], a.Key, a.Sequence)
-		t.write(t.conn, t.buffer, t.caller(a))
+		t.link.Write(t.conn, t.buffer, t.caller(a))
 	}
 	t.note(a)
 }
@@ -94,13 +94,6 @@
 	}
 }
 
-func (t *Outlet) write(conn *net.UDPConn, datagram []byte, to netip.AddrPort) {
-	if _, err := conn.WriteToUDPAddrPort(datagram, to); err != nil {
-		t.metrics.Dropped.WithLabelValues("writeFailed").Inc()
-		t.log.Debug("datagram not sent", "to", to, "error", err)
-	}
-}
-
 // probeFirst looks for the upstream of an agent that has just started and heard
 // of none, so that callers of its lost flows need not wait.
 func (t *Outlet) probeFirst() {
--- a/internal/transport/outlet/outlet.go
+++ b/internal/transport/outlet/outlet.go
@@ -14,7 +14,6 @@
 
 	"github.com/coriandershift/coriandershift"
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
-	"github.com/coriandershift/coriandershift/internal/protocol/encap"
 	"github.com/coriandershift/coriandershift/internal/protocol/parcel"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
@@ -23,9 +22,6 @@
 )
 
 const (
-	// maxDatagram holds the longest packet in its longest envelope, in bytes.
-	maxDatagram = 2048
-
 	// sweepEvery is the time between two ticks without anything due.
 	sweepEvery = time.Second
 
@@ -91,7 +87,7 @@
 		port:     o.CallerPort,
 		service:  o.Service,
 		core:     owner.New(settings, time.Now()),
-		buffer:   make([]byte, 0, maxDatagram),
+		buffer:   make([]byte, 0, link.MaxDatagram),
 	}, nil
 }
 
@@ -105,7 +101,7 @@
 
 	failed := make(chan error, 2)
 	go func() { failed <- t.readUpstream() }()
-	go func() { failed <- t.readLink() }()
+	go func() { failed <- t.link.Read(t.fromBalancer) }()
 	select {
 	case <-ctx.Done():
 		return nil
@@ -177,7 +173,7 @@
 }
 
 func (t *Outlet) readUpstream() error {
-	buffer := make([]byte, maxDatagram)
+	buffer := make([]byte, link.MaxDatagram)
 	for {
 		count, _, err := t.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -195,21 +191,6 @@
 	}
 }
 
-func (t *Outlet) readLink() error {
-	buffer := make([]byte, maxDatagram)
-	for {
-		count, _, err := t.link.Conn().ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			return errors.Wrap(err, "read from the other processes")
-		}
-		if count > 0 && buffer[0] == byte(encap.Control) {
-			t.link.Control(buffer[:count])
-			continue
-		}
-		t.fromBalancer(buffer[:count])
-	}
-}
-
 func (t *Outlet) fromBalancer(datagram []byte) {
 	e, payload, err := t.codec.Open(datagram)
 	if err != nil {
