Spread member records within a second after all processes restarted

Cause: a balancer that starts knows only the members that send it heartbeats. Pushes carry 50 records per 200 ms and sent each record twelve times from each balancer, and the first digests went out after 2 s.

Change: a balancer that takes no traffic yet sends a digest every 300 ms for 3 s. If more records wait than fit in a push, each is pushed once instead of four times; digests repair the rest.

Ruled out: only fewer pushes (the first 2 s are limited by the digests).

--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -40,6 +40,12 @@
 	joinInterval = 200 * time.Millisecond // between heartbeats until the first acknowledgement, and between join requests
 	joinPeriod   = 10 * time.Second       // time after the start in which joinInterval applies
 
+	// startDigestInterval is the time between two digests of a balancer that takes no
+	// traffic yet, for startDigestPeriod after its start. If all balancers have just
+	// started, their tables differ in hundreds of records.
+	startDigestInterval = 300 * time.Millisecond
+	startDigestPeriod   = 3 * time.Second
+
 	pushInterval    = 200 * time.Millisecond
 	digestInterval  = 2 * time.Second
 	deadDigestEvery = 4 // every fourth digest is also sent to a balancer declared dead
--- /dev/null
+++ b/internal/coordination/member/restart_test.go
@@ -0,0 +1,97 @@
+package member_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/member"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+const (
+	restartBalancers = 107
+	restartAgents    = 229
+	censusSeeds      = 12 // balancers that a starting process takes from the census
+)
+
+// restartAll starts all hosts anew within 0.2 s. As after a power failure, they know no
+// more than the balancers that the census lists.
+func (f *fleet) restartAll() {
+	var balancers []netip.AddrPort
+	for _, h := range f.nodes {
+		if h.role == roster.Balancer {
+			balancers = append(balancers, h.addr)
+		}
+		h.down = true
+	}
+	f.inFlight = nil
+	for range 2 {
+		for _, h := range f.nodes {
+			if !h.down || f.random.IntN(2) == 0 {
+				continue
+			}
+			f.startWithoutWeight(h)
+			var seeds []netip.AddrPort
+			for _, i := range f.random.Perm(len(balancers))[:censusSeeds] {
+				seeds = append(seeds, balancers[i])
+			}
+			h.node.SetSeeds(seeds)
+		}
+		f.run(member.TickInterval)
+	}
+	for _, h := range f.nodes {
+		if h.down {
+			f.startWithoutWeight(h)
+			h.node.SetSeeds(balancers[:censusSeeds])
+		}
+	}
+}
+
+// startWithoutWeight starts a host's node. A balancer takes no traffic at first.
+func (f *fleet) startWithoutWeight(h *host) {
+	f.start(h)
+	if h.role == roster.Balancer {
+		h.node.SetWeight(0)
+	}
+}
+
+// unknownCount returns how many records the balancers lack, all together.
+func (f *fleet) unknownCount() int {
+	count := 0
+	for _, h := range f.nodes {
+		if h.role == roster.Balancer {
+			count += len(f.nodes) - h.node.Roster().Len()
+		}
+	}
+	return count
+}
+
+// After all processes of a fleet of hundreds restarted, pushes and the first digests
+// took 2.5 s to spread their records, in which no balancer could tell lost flows.
+func TestAllMembersAreKnownSoonAfterAllRestarted(t *testing.T) {
+	const within = 1500 * time.Millisecond
+	for seed := range uint64(3) {
+		f := newFleet(t, seed, restartBalancers, restartAgents)
+		f.run(20 * time.Second)
+		f.restartAll()
+		f.run(within)
+		if unknown := f.unknownCount(); unknown > 0 {
+			t.Errorf("seed %d: %d records are unknown after %v", seed, unknown, within)
+		}
+	}
+}
+
+// The pushes after a restart of all processes used to go on for 5 s and sent each
+// record a dozen times from each balancer.
+func TestPushesEndSoonAfterAllRestarted(t *testing.T) {
+	f := newFleet(t, 1, restartBalancers, restartAgents)
+	f.run(20 * time.Second)
+	f.restartAll()
+	f.run(3 * time.Second)
+	f.sent = map[member.MessageKind]int{}
+	f.run(2 * time.Second)
+	if pushes := f.sent[member.Push]; pushes > restartBalancers {
+		t.Errorf("%d pushes between 3 and 5 s after the restart", pushes)
+	}
+}
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -47,16 +47,19 @@
 }
 
 // takePending returns the records of one push, divided into messages, and counts
-// them as pushed. Without pending records it returns one empty message, which still
-// carries the revision.
+// them as pushed. If there are more than fit, as after an outage, each is pushed only
+// once and digests repair what that leaves out. Without pending records takePending
+// returns one empty message, which still carries the revision.
 func (n *Node) takePending() [][]roster.Member {
+	const capacity = maxPushMessages * maxRecords
+	backlogged := len(n.pendingPushes) > capacity
 	var members []roster.Member
-	for _, address := range n.leastPushed(maxPushMessages * maxRecords) {
+	for _, address := range n.leastPushed(capacity) {
 		if m, ok := n.roster.Get(address); ok {
 			members = append(members, m)
 		}
 		n.pendingPushes[address]--
-		if n.pendingPushes[address] <= 0 {
+		if backlogged || n.pendingPushes[address] <= 0 {
 			delete(n.pendingPushes, address)
 		}
 	}
@@ -109,7 +112,7 @@
 // digest returns the digests that are due: one to a random balancer and, every
 // deadDigestEvery times, one to a dead balancer.
 func (n *Node) digest(now time.Time) []Outgoing {
-	if now.Sub(n.lastDigest) < digestInterval {
+	if now.Sub(n.lastDigest) < n.digestDelay(now) {
 		return nil
 	}
 	targets := n.randomPeers(1)
@@ -130,6 +133,14 @@
 	return sends
 }
 
+// digestDelay returns the time between two digests.
+func (n *Node) digestDelay(now time.Time) time.Duration {
+	if n.self.Weight == 0 && !n.synced && now.Sub(n.started) < startDigestPeriod {
+		return startDigestInterval
+	}
+	return digestInterval
+}
+
 // randomDead returns one random balancer that has been declared dead, if there are
 // any. Without it the two sides of a network partition would never contact each
 // other again.
