Tell lost flows soon after a restart of hundreds of agents

Besides, a search was inconclusive if any agent of any service had changed meanwhile, or if one of 204 agents did not reply to one datagram, and then waited for the caller's next packet, up to 1.6 s. Services of more than 256 agents were never searched to an end.

Change: expected members that are absent are probed; one that leaves five probes unanswered counts as gone if at most an eighth of the members is absent. A query also asks agents that appear or restart while it runs, repeats the question to agents that do not reply, and asks large services 256 agents at a time. A search that agents could not decide asks again by itself.

Ruled out: a shorter convergeDeadline, since a cut failure domain must still be waited for.

--- /dev/null
+++ b/internal/coordination/steer/absent.go
@@ -0,0 +1,104 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+const (
+	// firstProbeDelay is the time after this balancer's start from which absent members
+	// are probed. Processes that are killed together start again within 0.3 s.
+	firstProbeDelay = 400 * time.Millisecond
+
+	// probeInterval is the time between two probes of an absent member, within which a
+	// running one answers.
+	probeInterval = 200 * time.Millisecond
+
+	// probesUntilGone is the number of consecutive unanswered probes after which an
+	// absent member counts as gone.
+	probesUntilGone = 5
+
+	// minGoneDivisor sets how many members may be absent for any to count as gone:
+	// the expected members divided by minGoneDivisor, at least minGone. If more are
+	// absent, the network is more likely to be partitioned, or the members to be
+	// starting still.
+	minGoneDivisor = 8
+	minGone        = 2
+
+	// probeQueryID is the QueryID of all probes. Queries about flows have others.
+	probeQueryID = 0
+)
+
+// absence is what is known of an expected member that this balancer has not heard of.
+// Such members are usually VMs that were removed shortly before all processes
+// restarted, while the census still listed them.
+type absence struct {
+	unanswered int // probes since the last answer
+}
+
+// gone reports whether the member has left all probes unanswered.
+func (a *absence) gone() bool {
+	return a != nil && a.unanswered > probesUntilGone
+}
+
+// isKnown reports whether this balancer has heard of an expected member.
+func (r *Router) isKnown(member flow.Endpoint) bool {
+	_, isBalancer := r.balancers[member]
+	return isBalancer || r.agents[member] != nil
+}
+
+// GoneCount returns the number of expected members that count as gone.
+func (r *Router) GoneCount() int {
+	count := 0
+	for _, a := range r.absent {
+		if a.gone() {
+			count++
+		}
+	}
+	return count
+}
+
+// probeAbsent sends a probe to the expected members that this balancer has not heard
+// of. An agent that runs answers it, although a balancer does not: an absent balancer
+// matters only for the agents that it may know, which announce themselves.
+func (r *Router) probeAbsent(now time.Time) {
+	if r.converged || !r.expectedSet || now.Sub(r.started) < firstProbeDelay || now.Sub(r.lastProbe) < probeInterval {
+		return
+	}
+	absent := make(map[flow.Endpoint]*absence)
+	for _, member := range r.expected {
+		if r.isKnown(member) {
+			continue
+		}
+		absent[member] = r.absent[member]
+		if absent[member] == nil {
+			absent[member] = &absence{}
+		}
+	}
+	r.absent = absent
+	if len(absent) > max(minGone, len(r.expected)/minGoneDivisor) {
+		return
+	}
+
+	r.lastProbe = now
+	probe := fwdmsg.AppendQuestions(nil, []fwdmsg.Question{{}})
+	for member, a := range absent {
+		a.unanswered++
+		if a.gone() {
+			continue
+		}
+		r.send(Action{
+			To: member, Packet: probe,
+			Envelope: fwdmsg.Envelope{Kind: fwdmsg.Query, QueryID: probeQueryID, Balancer: r.self, Revision: r.cfg.Revision},
+		})
+	}
+}
+
+// recordProbeReply notes that an absent member runs: this balancer will hear of it.
+func (r *Router) recordProbeReply(member flow.Endpoint) {
+	if a := r.absent[member]; a != nil {
+		a.unanswered = 0
+	}
+}
--- a/internal/coordination/steer/converge.go
+++ b/internal/coordination/steer/converge.go
@@ -46,12 +46,12 @@
 	r.synced = true
 }
 
-// checkConverged sets converged once all expected members are known or
+// checkConverged sets converged once all expected members are known or gone, or
 // convergeDeadline has passed. Searches that ended without a result before then are
 // queued for another query, so that their callers get an answer.
 func (r *Router) checkConverged(now time.Time) {
 	age := now.Sub(r.started)
-	if r.converged || (age < convergeDeadline && !r.expectedMembersKnown(age)) {
+	if r.converged || (age < convergeDeadline && !r.expectedMembersFound(age)) {
 		return
 	}
 
@@ -63,19 +63,18 @@
 	}
 }
 
-// expectedMembersKnown reports whether all expected members are known. The list of
+// expectedMembersFound reports whether all expected members are known or gone. The list of
 // expected members may lack the latest ones: if another balancer was running before
 // this one started, the list must also agree with that of a balancer that knows all
 // members, or convergeDelay must have passed.
-func (r *Router) expectedMembersKnown(age time.Duration) bool {
+func (r *Router) expectedMembersFound(age time.Duration) bool {
 	for _, hadConverged := range r.balancers {
 		if hadConverged && !r.synced && age < convergeDelay {
 			return false
 		}
 	}
 	return r.expectedSet && !slices.ContainsFunc(r.expected, func(e flow.Endpoint) bool {
-		_, isBalancer := r.balancers[e]
-		return !isBalancer && r.agents[e] == nil
+		return !r.isKnown(e) && !r.absent[e].gone()
 	})
 }
 
@@ -101,19 +100,16 @@
 	return true
 }
 
-// possibleHolders returns the agents that may have a flow, in the order of
-// likelihood: those of its candidateServices, by rank in each. Agents that died less
-// than deadGracePeriod ago and may have held flows are returned in dead.
+// possibleHolders returns the agents that may have a flow, those of its
+// candidateServices. Agents that died less than deadGracePeriod ago and may have held
+// flows are returned in dead.
 func (r *Router) possibleHolders(now time.Time, route *config.Route, hash uint64) (live, dead []*agent) {
 	for _, name := range r.candidateServices(now, route, hash) {
 		svc := r.services[name]
 		if svc == nil {
 			continue
 		}
-		order, scores := make([]int, len(svc.agents)), make([]uint64, len(svc.agents))
-		count := rank.Top(hash, svc.all, order, scores)
-		for _, i := range order[:count] {
-			a := svc.agents[i]
+		for _, a := range svc.agents {
 			switch {
 			case a.member.State != roster.Dead:
 				live = append(live, a)
--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -59,7 +59,7 @@
 	}
 	known := 0
 	for _, e := range r.expected {
-		if _, isBalancer := r.balancers[e]; isBalancer || r.agents[e] != nil {
+		if r.isKnown(e) {
 			known++
 		}
 	}
--- a/internal/coordination/steer/member.go
+++ b/internal/coordination/steer/member.go
@@ -66,9 +66,6 @@
 	if known != nil && known.member == *m {
 		return
 	}
-	if known == nil || known.mayHoldOtherFlows(m) {
-		r.agentsVersion++
-	}
 	if known != nil && known.member.Service != m.Service {
 		changed[r.removeFromService(known)] = true
 		known = nil
@@ -84,13 +81,6 @@
 	changed[r.services[m.Service]] = true
 }
 
-// mayHoldOtherFlows reports whether the agent may hold other flows than before: by
-// its new record m it restarted, changed its service, died or came back.
-func (a *agent) mayHoldOtherFlows(m *roster.Member) bool {
-	return a.member.Incarnation != m.Incarnation || a.member.Service != m.Service ||
-		(a.member.State == roster.Dead) != (m.State == roster.Dead)
-}
-
 // addToService adds an agent to a service, which it creates if needed. The caller
 // updates the candidates.
 func (r *Router) addToService(a *agent, name string) {
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -16,40 +16,92 @@
 
 // query is a batch of questions about flows, sent to all agents that may have them.
 type query struct {
-	sentAt  time.Time
-	keys    []flow.Key
-	pending map[flow.Endpoint]bool // agents that have not replied
+	sentAt     time.Time
+	lastSentAt time.Time // when agents were last asked for the first time
+	resent     bool      // since lastSentAt
+	keys       []flow.Key
+	payload    []byte
+	asked      map[flow.Endpoint]question
+	pending    int // agents that have not replied
+}
+
+// question is what an agent was asked in a query.
+type question struct {
+	incarnation uint64 // of the agent when it was asked
+	pending     bool   // it has not replied
 }
 
 // sendQuery asks the agents that may have flows of a route about the flows in keys,
 // at least one and at most fwdmsg.MaxQuestions.
 func (r *Router) sendQuery(now time.Time, route *config.Route, keys []flow.Key) {
+	q := &query{sentAt: now, keys: slices.Clone(keys), asked: map[flow.Endpoint]question{}}
 	questions := make([]fwdmsg.Question, 0, len(keys))
 	for _, key := range keys {
 		s := r.searches[key]
 		s.enter(stateQueried, now)
-		s.agentsVersion, s.uncertain, s.inconclusive = r.agentsVersion, nil, false
+		s.query, s.uncertain, s.retry = q, nil, false
 		questions = append(questions, fwdmsg.Question{Key: key, Acknowledged: s.acknowledged})
 	}
+	q.payload = fwdmsg.AppendQuestions(nil, questions)
 
 	r.lastQueryID++
-	q := &query{sentAt: now, keys: slices.Clone(keys), pending: map[flow.Endpoint]bool{}}
+	if r.lastQueryID == probeQueryID {
+		r.lastQueryID++
+	}
 	r.queries[r.lastQueryID] = q
-	payload := fwdmsg.AppendQuestions(nil, questions)
-	live, dead := r.possibleHolders(now, route, keys[0].Hash())
-	for _, a := range append(live[:min(len(live), maxQueriedAgents)], dead...) {
-		q.pending[a.endpoint] = true
-		r.send(Action{
-			To: a.endpoint, Packet: payload,
-			Envelope: fwdmsg.Envelope{Kind: fwdmsg.Query, QueryID: r.lastQueryID, Balancer: r.self, Revision: r.cfg.Revision},
-		})
+	r.askNext(now, r.lastQueryID, q, route)
+}
+
+// askNext asks up to maxAskedAtOnce agents that may have the flows of a query and were
+// not asked yet: those of a large service in turn, and those that were unknown or
+// another process before. It reports whether there were any.
+func (r *Router) askNext(now time.Time, id uint16, q *query, route *config.Route) bool {
+	live, dead := r.possibleHolders(now, route, q.keys[0].Hash())
+	count := 0
+	for _, a := range append(live, dead...) {
+		asked, found := q.asked[a.endpoint]
+		if found && asked.incarnation == a.member.Incarnation {
+			continue
+		}
+		if count == maxAskedAtOnce || len(q.asked) == maxQueriedAgents {
+			break
+		}
+		if !asked.pending {
+			q.pending++
+		}
+		q.asked[a.endpoint] = question{incarnation: a.member.Incarnation, pending: true}
+		count++
+		r.sendQuestions(id, q, a.endpoint)
+	}
+	if count == 0 {
+		return false
+	}
+	q.lastSentAt, q.resent = now, false
+	return true
+}
+
+func (r *Router) sendQuestions(id uint16, q *query, to flow.Endpoint) {
+	r.send(Action{
+		To: to, Packet: q.payload,
+		Envelope: fwdmsg.Envelope{Kind: fwdmsg.Query, QueryID: id, Balancer: r.self, Revision: r.cfg.Revision},
+	})
+}
+
+// resendQuestions repeats a query to the agents that have not replied: with hundreds of
+// agents, one datagram in a thousand lost would leave a third of the queries incomplete.
+func (r *Router) resendQuestions(id uint16, q *query) {
+	q.resent = true
+	for agent, asked := range q.asked {
+		if asked.pending {
+			r.sendQuestions(id, q, agent)
+		}
 	}
 }
 
 // searchesNeedTicks reports whether a search or query needs further ticks.
 func (r *Router) searchesNeedTicks() bool {
 	for _, s := range r.searches {
-		if s.state != stateEnded || !r.converged {
+		if s.state != stateEnded || s.retry || !r.converged {
 			return true
 		}
 	}
@@ -60,12 +112,14 @@
 // sends queries for the searches that wait for one.
 func (r *Router) advanceSearches(now time.Time) {
 	for id, q := range r.queries {
-		switch age := now.Sub(q.sentAt); {
+		switch age := now.Sub(q.lastSentAt); {
 		case age >= emptyAgentTimeout && r.onlyEmptyAgentsPending(q):
 			r.finishQuery(now, id, q)
 		case age >= queryTimeout:
 			delete(r.queries, id)
 			r.expireQuery(now, q)
+		case age >= resendDelay && !q.resent:
+			r.resendQuestions(id, q)
 		}
 	}
 
@@ -76,6 +130,8 @@
 			s.enter(stateQueued, now)
 		case s.state == stateOffered && now.Sub(s.enteredAt) >= queryTimeout:
 			r.endInconclusive(now, key, s, NotFoundAgentUncertain)
+		case s.shouldRetry(now):
+			s.enter(stateQueued, now)
 		}
 		if s.state == stateQueued {
 			due[key.Service] = append(due[key.Service], key)
@@ -94,11 +150,16 @@
 // handleQueryReply handles an agent's reply to a query: one fwdmsg.HeldStatus byte
 // for each flow, in the order of the questions.
 func (r *Router) handleQueryReply(now time.Time, e *fwdmsg.Envelope, statuses []byte) {
+	if e.QueryID == probeQueryID {
+		r.recordProbeReply(e.Agent)
+		return
+	}
 	q := r.queries[e.QueryID]
-	if q == nil || !q.pending[e.Agent] || len(statuses) != len(q.keys) {
+	if q == nil || !q.asked[e.Agent].pending || len(statuses) != len(q.keys) {
 		return
 	}
-	delete(q.pending, e.Agent)
+	q.asked[e.Agent] = question{incarnation: q.asked[e.Agent].incarnation}
+	q.pending--
 	for i, key := range q.keys {
 		s := r.searches[key]
 		if s == nil || !s.awaits(q) {
@@ -111,14 +172,18 @@
 			s.uncertain = append(s.uncertain, e.Agent)
 		}
 	}
-	if len(q.pending) == 0 {
+	if q.pending == 0 {
 		r.finishQuery(now, e.QueryID, q)
 	}
 }
 
-// finishQuery ends a query, and continues the searches for flows that no agent
-// reported to have.
+// finishQuery ends a query if all agents that may have its flows were asked, and
+// continues the searches for flows that no agent reported to have.
 func (r *Router) finishQuery(now time.Time, id uint16, q *query) {
+	route := r.routes[q.keys[0].Service]
+	if route != nil && r.awaited(q) && r.askNext(now, id, q, route) {
+		return
+	}
 	delete(r.queries, id)
 	for _, key := range q.keys {
 		if s := r.searches[key]; s != nil && s.awaits(q) {
@@ -129,17 +194,25 @@
 
 // onlyEmptyAgentsPending reports whether all agents that have not replied hold no flows.
 func (r *Router) onlyEmptyAgentsPending(q *query) bool {
-	for endpoint := range q.pending {
-		if a := r.agents[endpoint]; a == nil || !a.member.NoFlows {
+	for endpoint, asked := range q.asked {
+		if a := r.agents[endpoint]; asked.pending && (a == nil || !a.member.NoFlows) {
 			return false
 		}
 	}
 	return true
 }
 
+// awaited reports whether any search waits for the replies to q.
+func (r *Router) awaited(q *query) bool {
+	return slices.ContainsFunc(q.keys, func(key flow.Key) bool {
+		s := r.searches[key]
+		return s != nil && s.awaits(q)
+	})
+}
+
 // awaits reports whether the search waits for the replies to q, not to another query.
 func (s *search) awaits(q *query) bool {
-	return s.state == stateQueried && s.enteredAt.Equal(q.sentAt)
+	return s.state == stateQueried && s.query == q
 }
 
 // expireQuery handles the searches of a query that some agents did not answer. If
@@ -163,8 +236,10 @@
 // anyPending returns one of the agents that have not replied, the zero Endpoint if
 // all have.
 func (q *query) anyPending() flow.Endpoint {
-	for endpoint := range q.pending {
-		return endpoint
+	for endpoint, asked := range q.asked {
+		if asked.pending {
+			return endpoint
+		}
 	}
 	return flow.Endpoint{}
 }
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -30,14 +30,27 @@
 	// flow is missed.
 	emptyAgentTimeout = 150 * time.Millisecond
 
-	// searchTTL is the time for which a search stays in its last state before it is
-	// removed. Callers retransmit a packet after 1.6 s at the latest.
+	// resendDelay is the time after which a query is repeated to the agents that have
+	// not replied. A reply takes a few milliseconds.
+	resendDelay = 100 * time.Millisecond
+
+	// retryDelay is the time after which an inconclusive search asks again without
+	// another packet of the caller, and retryPeriod how long after the caller's last
+	// packet it does so. Callers retransmit a packet after 1.6 s at the latest.
+	retryDelay  = 200 * time.Millisecond
+	retryPeriod = 1800 * time.Millisecond
+
+	// searchTTL is the time after the caller's last packet at which a search is removed.
 	searchTTL = 4 * time.Second
 
-	// maxQueriedAgents limits the live agents that are asked about a flow, in the
-	// order of likelihood. A balancer that knew few agents may have placed the flow at
-	// any of them, so with more agents than this a flow is never declared gone.
-	maxQueriedAgents = 256
+	// maxAskedAtOnce limits the agents that are asked about a flow at once; the others
+	// are asked after those have replied.
+	maxAskedAtOnce = 256
+
+	// maxQueriedAgents limits the agents that are asked about a flow. A balancer that
+	// knew few agents may have placed the flow at any of them, so with more agents than
+	// this a flow is never declared gone.
+	maxQueriedAgents = 4096
 
 	// maxSearches limits the searches that are kept, of up to 1.2 KB each.
 	maxSearches = 2048
@@ -58,24 +71,25 @@
 type search struct {
 	state searchState
 
-	// enteredAt is when state was entered. It equals query.sentAt while the search
-	// waits for that query; replies to an earlier one are ignored.
+	// enteredAt is when state was entered.
 	enteredAt time.Time
 
 	// packet is a copy of the caller's latest packet, acknowledged its
-	// acknowledgement number.
+	// acknowledgement number and packetAt the time of its arrival.
 	packet       []byte
 	acknowledged uint32
+	packetAt     time.Time
 
-	// agentsVersion is Router.agentsVersion at the time of the last query.
-	agentsVersion uint64
+	// query is the last query about the flow. Replies to an earlier one are ignored.
+	query *query
 
 	// uncertain are the agents that cannot tell whether they have the flow, and
 	// unansweredPlaceholder if some did not answer.
 	uncertain []flow.Endpoint
 
-	// inconclusive says that the search ended without knowing whether the flow exists.
-	inconclusive bool
+	// retry says that the search ended without knowing whether the flow exists, and
+	// that another query may tell.
+	retry bool
 }
 
 // lookup starts or continues the search for the agent that has a flow. The packet
@@ -96,11 +110,12 @@
 	}
 	s.packet = append(s.packet[:0], p.Raw...)
 	s.acknowledged = p.Acknowledged
+	s.packetAt = now
 	r.searchesActive = true
-	switch {
-	case s.state == stateChain:
+	switch s.state {
+	case stateChain:
 		r.sendAlongChain(now, key, p.Raw, route, isNew)
-	case s.state == stateEnded && (s.inconclusive || s.agentsVersion != r.agentsVersion):
+	case stateEnded:
 		s.enter(stateQueued, now)
 	}
 }
@@ -109,6 +124,15 @@
 	s.state, s.enteredAt = next, now
 }
 
+// shouldRetry reports whether a search that ended without a result should ask again now.
+func (s *search) shouldRetry(now time.Time) bool {
+	if s.state != stateEnded || !s.retry {
+		return false
+	}
+	s.retry = now.Sub(s.packetAt) < retryPeriod
+	return s.retry && now.Sub(s.enteredAt) >= retryDelay
+}
+
 // sendAlongChain sends a packet along the highest ranked agents of its flow: each
 // agent without the flow passes it on to the next. Only the first packet of a search
 // asks for a notice; later ones take the same path.
@@ -178,8 +202,8 @@
 }
 
 // conclude ends a search for a flow that no agent has. Its caller gets a reset unless
-// the flow may still exist: at agents that changed since the query was sent, were
-// not asked, died within deadGracePeriod or are not known yet.
+// the flow may still exist: at agents that were not asked, died within deadGracePeriod
+// or are not known yet.
 func (r *Router) conclude(now time.Time, key flow.Key, s *search) {
 	route := r.routes[key.Service]
 	if route == nil {
@@ -188,7 +212,7 @@
 	}
 	live, dead := r.possibleHolders(now, route, key.Hash())
 	switch {
-	case s.agentsVersion != r.agentsVersion, len(live) > maxQueriedAgents:
+	case slices.ContainsFunc(live, s.query.misses):
 		r.endInconclusive(now, key, s, NotFoundAgentUncertain)
 	case len(dead) > 0:
 		r.endInconclusive(now, key, s, NotFoundAgentDied)
@@ -200,10 +224,18 @@
 	}
 }
 
+// misses reports whether the agent has not replied to the query. An agent without flows
+// need not reply.
+func (q *query) misses(a *agent) bool {
+	asked, found := q.asked[a.endpoint]
+	return !found || asked.incarnation != a.member.Incarnation || (asked.pending && !a.member.NoFlows)
+}
+
 // endInconclusive ends a search that could not tell whether the flow exists, and
-// drops the packet. The caller's next packet starts another query.
+// drops the packet. The caller's next packet starts another query. If agents did not
+// reply or could not tell, the search asks again by itself.
 func (r *Router) endInconclusive(now time.Time, key flow.Key, s *search, reason Reason) {
 	s.enter(stateEnded, now)
-	s.inconclusive = true
+	s.retry = reason == NotFoundAgentUncertain || reason == NotFoundAgentSilent
 	r.actions = append(r.actions, Action{Kind: Drop, Reason: reason, Key: key})
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -75,12 +75,11 @@
 	started time.Time
 	policy  pick.Policy
 
-	cfg           *config.Config
-	idleTimeout   time.Duration
-	routes        map[flow.Endpoint]*config.Route
-	services      map[string]*service
-	agents        map[flow.Endpoint]*agent
-	agentsVersion uint64 // incremented when an agent may hold other flows than before
+	cfg         *config.Config
+	idleTimeout time.Duration
+	routes      map[flow.Endpoint]*config.Route
+	services    map[string]*service
+	agents      map[flow.Endpoint]*agent
 
 	// formerServices are, by route address, the services that the route led to in
 	// earlier configurations and does not lead to now.
@@ -108,10 +107,13 @@
 	lastQueryID    uint16
 
 	// expected are the members that were known before the start; valid if expectedSet.
+	// absent are those of them that this balancer had not heard of at lastProbe.
 	// balancers has an entry for each known balancer, this one included: true if it is
 	// another one that was alive and had converged (its Weight was above 0) when this
 	// balancer first heard of it.
 	expected    []flow.Endpoint
+	absent      map[flow.Endpoint]*absence
+	lastProbe   time.Time
 	balancers   map[flow.Endpoint]bool
 	expectedSet bool
 	synced      bool // a balancer that knows all members has the same list as this one
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -33,6 +33,7 @@
 	r.actions = r.actions[:0]
 	delay := r.tickDelay(now)
 	r.lastTick = now
+	r.probeAbsent(now)
 	r.checkConverged(now)
 	r.routeHeld(now)
 	r.advanceSearches(now)
@@ -80,7 +81,7 @@
 	r.lastSweep = now
 	r.evictDeadAgents(now)
 	for key, s := range r.searches {
-		if now.Sub(s.enteredAt) > searchTTL {
+		if now.Sub(s.packetAt) > searchTTL {
 			delete(r.searches, key)
 		}
 	}
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -204,7 +204,7 @@
 	b.metrics.Connections.Set(float64(b.router.FlowCount()))
 	if b.router.Converged() && !b.converged {
 		b.converged = true
-		b.log.Info("all agents are known", "agents", b.router.EligibleAgentCount(), "agreed", synced)
+		b.log.Info("all agents are known", "agents", b.router.EligibleAgentCount(), "agreed", synced, "gone", b.router.GoneCount())
 		b.control.SetWeight(roster.MaxWeight)
 	}
 	if b.nextTick.IsZero() {
