Watch the store from two balancers of each failure domain only

Each agent read the census, which only has to name some balancers, at full price.

Change: a balancer waits a second after its start before it watches, and stops when others are before it on the ring. Balancers further down the ring repeat the first read every 2 s only. Seeds come from a read that may be stale (GetStale, serializable in the etcd API).

Ruled out: stale reads of the configuration, since a process could start with one that is older than what is in force; no read at all before peers have answered, since that delays service after a restart of everything.

--- a/internal/coordination/commit/commit_test.go
+++ b/internal/coordination/commit/commit_test.go
@@ -47,6 +47,10 @@
 	return e, nil
 }
 
+func (s *memoryStore) GetStale(ctx context.Context, key string) (coriandershift.Entry, error) {
+	return s.Get(ctx, key)
+}
+
 func (s *memoryStore) CompareAndSwap(_ context.Context, key string, value []byte, revision int64, _ coriandershift.Lease) error {
 	if err := s.before(key); err != nil {
 		return err
--- a/internal/protocol/etcd/etcd.go
+++ b/internal/protocol/etcd/etcd.go
@@ -29,6 +29,9 @@
 type RangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+
+	// Serializable allows the answer of one server that may lag behind the others.
+	Serializable bool `json:"serializable,omitempty"`
 }
 
 // RangeResponse answers a RangeRequest.
--- a/internal/transport/ctrl/census.go
+++ b/internal/transport/ctrl/census.go
@@ -85,10 +85,25 @@
 	if err != nil {
 		return Census{}, err
 	}
+	return decodeCensus(entry)
+}
+
+func decodeCensus(entry coriandershift.Entry) (Census, error) {
 	var census Census
 	return census, errors.Wrap(cbor.Unmarshal(entry.Value, &census), "decode census")
 }
 
+// readSeedBalancers returns the balancers of a census that may be seconds old. All
+// processes read it at their start.
+func (p *Plane) readSeedBalancers(ctx context.Context) ([]netip.AddrPort, error) {
+	entry, err := p.store.GetStale(ctx, censusKey)
+	if err != nil {
+		return nil, err
+	}
+	census, err := decodeCensus(entry)
+	return census.Balancers, err
+}
+
 // SeedFromCensus takes seeds from the census whenever no balancer answers this process,
 // also at its start, until the context ends. This finds balancers even if all seeds that
 // the settings name are gone.
@@ -100,12 +115,12 @@
 			sleep(ctx, isolationCheckInterval)
 			continue
 		}
-		census, err := p.ReadCensus(ctx)
+		balancers, err := p.readSeedBalancers(ctx)
 		if err != nil {
 			p.log.Warn("no balancer answers and the census cannot be read", "error", err)
 		} else {
-			p.log.Warn("no balancer answers; taking seeds from the census", "known", len(census.Balancers))
-			p.SetSeeds(randomSeeds(census.Balancers))
+			p.log.Warn("no balancer answers; taking seeds from the census", "known", len(balancers))
+			p.SetSeeds(randomSeeds(balancers))
 		}
 		sleep(ctx, delay.next())
 	}
--- a/internal/transport/ctrl/source.go
+++ b/internal/transport/ctrl/source.go
@@ -29,8 +29,16 @@
 	initialRetryDelay  = 100 * time.Millisecond
 	initialLoadTimeout = 250 * time.Millisecond
 
-	// rankCheckInterval is the time between two checks whether a balancer that leaves
-	// the watch to others has to watch the store itself.
+	// followerRetryDelay is the delay between two such attempts of a balancer that can
+	// expect to get the configuration from its peers.
+	followerRetryDelay = 2 * time.Second
+
+	// ringDelay is the time after its start in which a balancer learns of most others.
+	// Only then does it know whether it is among the first of its failure domain.
+	ringDelay = time.Second
+
+	// rankCheckInterval is the time between two checks whether this balancer has to
+	// watch the store.
 	rankCheckInterval = time.Second
 )
 
@@ -39,19 +47,25 @@
 // each failure domain on the ring, and on isolated ones. The others learn of changes
 // from their peers, and read the source when they start.
 func (p *Plane) FollowConfigSource(ctx context.Context, source coriandershift.ConfigSource) {
+	started := time.Now()
 	cfg := p.loadInitialConfig(ctx, source)
+	sleep(ctx, ringDelay-time.Since(started))
 	delay := sourceRetryDelay
 	for ctx.Err() == nil {
-		if p.rankInDomain() >= watchersPerDomain && p.Config().Revision > 0 && !p.isolated() {
+		if !p.watchesSource() {
 			sleep(ctx, rankCheckInterval)
 			continue
 		}
 
-		err := p.followChanges(ctx, source, cfg)
-		if ctx.Err() != nil {
-			return
-		}
+		watching, cancel := context.WithCancel(ctx)
+		go p.stopIfOthersWatch(watching, cancel)
+		err := p.followChanges(watching, source, cfg)
+		stopped := watching.Err() != nil
+		cancel()
 		cfg = nil
+		if stopped {
+			continue
+		}
 		if err == nil || !p.storeLost {
 			delay = sourceRetryDelay
 		}
@@ -63,11 +77,34 @@
 	}
 }
 
+// watchesSource reports whether this balancer has to wait for changes at the source.
+func (p *Plane) watchesSource() bool {
+	return p.rankInDomain() < watchersPerDomain || p.Config().Revision == 0 || p.isolated()
+}
+
+// stopIfOthersWatch calls stop once other balancers wait for changes instead of this
+// one. It returns when ctx ends.
+func (p *Plane) stopIfOthersWatch(ctx context.Context, stop context.CancelFunc) {
+	for ctx.Err() == nil {
+		sleep(ctx, rankCheckInterval)
+		if !p.watchesSource() {
+			stop()
+		}
+	}
+}
+
 // loadInitialConfig reads the source until a configuration is in force. It returns the
-// one that it has read, or nil if that of a peer came first.
+// one that it has read, or nil if that of a peer came first. All but the first balancers
+// of each failure domain repeat an attempt only after followerRetryDelay.
 func (p *Plane) loadInitialConfig(ctx context.Context, source coriandershift.ConfigSource) *config.Config {
 	timeout, delay := initialLoadTimeout, initialRetryDelay
+	var lastAttempt time.Time
 	for ctx.Err() == nil && p.Config().Revision == 0 {
+		if p.rankInDomain() >= watchersPerDomain && !p.isolated() && time.Since(lastAttempt) < followerRetryDelay {
+			sleep(ctx, initialRetryDelay)
+			continue
+		}
+		lastAttempt = time.Now()
 		loadCtx, cancel := context.WithTimeout(ctx, timeout)
 		cfg, err := source.Load(loadCtx)
 		cancel()
--- a/internal/transport/ctrl/source_test.go
+++ b/internal/transport/ctrl/source_test.go
@@ -48,6 +48,10 @@
 	return e, nil
 }
 
+func (m *memoryStore) GetStale(ctx context.Context, key string) (coriandershift.Entry, error) {
+	return m.Get(ctx, key)
+}
+
 func (m *memoryStore) List(context.Context, string) ([]coriandershift.Entry, error) { return nil, nil }
 
 func (m *memoryStore) CompareAndSwap(_ context.Context, key string, value []byte, revision int64, _ coriandershift.Lease) error {
@@ -175,6 +179,68 @@
 	}
 }
 
+// countingSource is a ConfigSource that has no changes and counts the waits for one.
+type countingSource struct {
+	mu      sync.Mutex
+	waiting int
+}
+
+func (s *countingSource) Load(context.Context) (*config.Config, error) {
+	return &config.Config{Revision: 1}, nil
+}
+
+func (s *countingSource) Next(ctx context.Context, cfg *config.Config, after uint64) (*config.Config, uint64, error) {
+	s.add(1)
+	defer s.add(-1)
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+func (s *countingSource) add(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += n
+}
+
+func (s *countingSource) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
+// A balancer that starts knows no others, so it counts itself among the first of its
+// failure domain. All balancers that had started together used to watch the store for
+// good: 107 on the simulated deployment higi-sul-large, each charged for every change.
+func TestOnlyTheFirstBalancersOfAFailureDomainWatch(t *testing.T) {
+	const count, watchers = 6, 2
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	source := &countingSource{}
+	var planes []*ctrl.Plane
+	for range count {
+		planes = append(planes, newPlane(t, roster.Balancer, newMemoryStore()))
+	}
+	for _, plane := range planes {
+		go plane.FollowConfigSource(ctx, source)
+	}
+	for deadline := time.Now().Add(20 * time.Second); source.count() < count; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d balancers that know no others watch", source.count(), count)
+		}
+	}
+
+	for _, plane := range planes {
+		plane.SetSeeds([]netip.AddrPort{planes[0].Self().Address})
+		go plane.Run(ctx)
+		go handleControl(plane)
+	}
+	for deadline := time.Now().Add(20 * time.Second); source.count() != watchers; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d balancers watch, want %d", source.count(), watchers)
+		}
+	}
+}
+
 func TestFetchWholeConfigurationFromAPeer(t *testing.T) {
 	plane := newPlane(t, roster.Balancer, newMemoryStore())
 	mux := http.NewServeMux()
--- a/internal/transport/store/client.go
+++ b/internal/transport/store/client.go
@@ -50,12 +50,21 @@
 
 // Get returns one entry, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, key string) (coriandershift.Entry, error) {
-	entries, err := c.getRange(ctx, etcd.RangeRequest{Key: []byte(key)})
+	return c.get(ctx, etcd.RangeRequest{Key: []byte(key)})
+}
+
+// GetStale is a Get that any server of the store answers from what it has.
+func (c *Client) GetStale(ctx context.Context, key string) (coriandershift.Entry, error) {
+	return c.get(ctx, etcd.RangeRequest{Key: []byte(key), Serializable: true})
+}
+
+func (c *Client) get(ctx context.Context, request etcd.RangeRequest) (coriandershift.Entry, error) {
+	entries, err := c.getRange(ctx, request)
 	if err != nil {
 		return coriandershift.Entry{}, err
 	}
 	if len(entries) == 0 {
-		return coriandershift.Entry{}, errors.WithMessagef(coriandershift.ErrNotFound, "key %q", key)
+		return coriandershift.Entry{}, errors.WithMessagef(coriandershift.ErrNotFound, "key %q", request.Key)
 	}
 	return entries[0], nil
 }
--- a/store.go
+++ b/store.go
@@ -45,6 +45,9 @@
 	// Get returns one entry, or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
 
+	// GetStale is a cheaper Get whose result may be seconds old.
+	GetStale(ctx context.Context, key string) (Entry, error)
+
 	// List returns the entries whose keys start with a prefix.
 	List(ctx context.Context, prefix string) ([]Entry, error)
 
