Keep the configuration while the store comes back from an older copy

Cause: revisions of the store were the only versions. After the store has come back from an older copy they go back and are given out again, so that every change was ignored until the counter had passed the old value, deltas named by a revision could fit two configurations, a condition could match another value, and the census stayed lost.

Change: platform reads the header Store-Era and joins the era and the revision (package revno), so that all comparisons go on working; answers, writes and watches of an earlier era fail. The operators' own version travels with the configuration and goes first when two are compared. Package adopt decides what a process puts in force: one of a later era is held back until it has the operators' version and, for two seconds, the same failure domains out. A process that starts from the copy says so (unsettled), and others do not take its configuration over. The era is spread with heartbeats and pushes; the census is written anew. In the etcd kind, where there is no era, balancers write the configuration in force back.

--- a/cmd/coriandershiftd/cmd_balancer.go
+++ b/cmd/coriandershiftd/cmd_balancer.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	server := admin.NewServer(d.log, d.control, commit.New(d.store), d.client)
+	server := admin.NewServer(d.log, d.control, commit.New(d.store, commit.WithInForce(d.control.Config)), d.client)
 	balancer := h3bal.New(h3bal.Options{
 		Log:           d.log,
 		Metrics:       d.metrics,
--- a/internal/coordination/commit/commit.go
+++ b/internal/coordination/commit/commit.go
@@ -40,7 +40,8 @@
 
 // Committer changes and reads the configuration. It is safe for concurrent use.
 type Committer struct {
-	store coriandershift.Store
+	store   coriandershift.Store
+	inForce func() *config.Config
 
 	mu sync.Mutex
 	// cache holds the parts of the last root that was read, by their hash.
@@ -74,9 +75,22 @@
 	parts   []partName
 }
 
+// Option configures a Committer.
+type Option func(*Committer)
+
+// WithInForce names the function that returns the configuration in force at this process.
+// If the store has an earlier one, it was restored from an older copy.
+func WithInForce(inForce func() *config.Config) Option {
+	return func(c *Committer) { c.inForce = inForce }
+}
+
 // New returns a Committer for a store.
-func New(store coriandershift.Store) *Committer {
-	return &Committer{store: store}
+func New(store coriandershift.Store, options ...Option) *Committer {
+	c := &Committer{store: store, inForce: func() *config.Config { return &config.Config{} }}
+	for _, apply := range options {
+		apply(c)
+	}
+	return c
 }
 
 // Load reads the whole configuration. An empty store yields an empty configuration
@@ -136,6 +150,14 @@
 		return 0, err
 	}
 
+	restored, err := c.restore(ctx, current)
+	if restored {
+		return 0, errors.WithMessage(coriandershift.ErrConflict, "the store was restored from an older copy")
+	}
+	if err != nil {
+		return 0, err
+	}
+
 	if i := slices.IndexFunc(current.changes, func(d doneChange) bool { return d.ID == change.ID }); i >= 0 {
 		return current.changes[i].Revision, nil
 	}
@@ -166,6 +188,37 @@
 	return next.Revision, nil
 }
 
+// Restore writes the configuration in force back to the store if the store has an earlier
+// one, and reports whether it did. Without that, revisions would be given out again for
+// other configurations, which the processes would ignore.
+func (c *Committer) Restore(ctx context.Context) (bool, error) {
+	current, err := c.Load(ctx)
+	if err != nil {
+		return false, err
+	}
+	return c.restore(ctx, current)
+}
+
+func (c *Committer) restore(ctx context.Context, current Snapshot) (bool, error) {
+	cfg := c.inForce()
+	if cfg.Revision <= current.Config.Revision {
+		return false, nil
+	}
+	parts := cfg.Split()
+	if err := c.putParts(ctx, current.parts, parts); err != nil {
+		return false, err
+	}
+	r := newRoot(cfg.Revision, parts, current.changes, "restore")
+	value, err := json.Marshal(r)
+	if err != nil {
+		return false, errors.Wrap(err, "encode root")
+	}
+	if err := c.store.CompareAndSwap(ctx, RootKey, value, current.StoreRevision, 0); err != nil {
+		return false, err
+	}
+	return true, nil
+}
+
 func (c *Committer) putParts(ctx context.Context, stored []partName, parts []config.Part) error {
 	for _, p := range parts {
 		if slices.Contains(stored, partName{Name: p.Name, Hash: p.Hash}) {
--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/revno"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
@@ -12,9 +14,10 @@
 	n.lastReceived = now
 
 	var source ConfigSource
-	if m.Revision > n.revision && m.From.Admin.IsValid() {
-		source = ConfigSource{Revision: m.Revision, Admin: m.From.Admin}
+	if n.isNewerConfig(&m) && m.From.Admin.IsValid() {
+		source = ConfigSource{Revision: m.Revision, Operators: m.Operators, Admin: m.From.Admin}
 	}
+	n.ObserveEra(m.Era)
 
 	switch m.Kind {
 	case Heartbeat:
@@ -32,6 +35,18 @@
 	return nil, source
 }
 
+// isNewerConfig reports whether the sender of a message has a newer configuration than
+// this node, as config.Config.NewerThan compares them. An unsettled one of a later era
+// may be older in spite of that.
+func (n *Node) isNewerConfig(m *Message) bool {
+	isOfLaterEra := revno.Revision(m.Revision).Era() > revno.Revision(n.revision).Era()
+	if m.Unsettled && n.revision > 0 && isOfLaterEra {
+		return false
+	}
+	sent := config.Config{Revision: m.Revision, Operators: m.Operators}
+	return sent.NewerThan(&config.Config{Revision: n.revision, Operators: n.operators})
+}
+
 func (n *Node) onHeartbeat(now time.Time, m Message) []Outgoing {
 	if n.self.Role != roster.Balancer || m.From.Address == n.self.Address {
 		return nil
@@ -100,7 +115,9 @@
 func (n *Node) ack(heartbeat Message) Message {
 	m := n.message(Ack)
 	m.AllowPartialFrom = true
-	if heartbeat.Revision >= n.revision && heartbeat.From.Role == roster.Agent {
+	known := config.Config{Revision: heartbeat.Revision, Operators: heartbeat.Operators}
+	own := config.Config{Revision: n.revision, Operators: n.operators}
+	if !own.NewerThan(&known) && heartbeat.From.Role == roster.Agent {
 		m.makePartial() // the admin address serves only to fetch a newer configuration
 	}
 	m.Homes = addresses(roster.HomesOf(heartbeat.From.Address, n.ring))
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -90,7 +90,7 @@
 }
 
 func (n *Node) message(kind MessageKind) Message {
-	return Message{Kind: kind, From: n.self, Revision: n.revision}
+	return Message{Kind: kind, From: n.self, Revision: n.revision, Operators: n.operators, Era: n.era, Unsettled: n.unsettled}
 }
 
 // publishSelf has a balancer's own record pushed under a new sequence. Agents
--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -30,8 +30,17 @@
 	// From is the sender's own record.
 	From roster.Member `cbor:"2,keyasint"`
 
-	// Revision is the revision of the configuration in force at the sender.
-	Revision uint64 `cbor:"3,keyasint,omitempty"`
+	// Revision is the revision of the configuration in force at the sender, Operators the
+	// operators' version of it.
+	Revision  uint64 `cbor:"3,keyasint,omitempty"`
+	Operators uint64 `cbor:"14,keyasint,omitempty"`
+
+	// Era is the latest era of the store that the sender has heard of.
+	Era uint64 `cbor:"15,keyasint,omitempty"`
+
+	// Unsettled says that the sender's configuration may lack what operators have yet to
+	// write again since that era began; see adopt.Gate.
+	Unsettled bool `cbor:"16,keyasint,omitempty"`
 
 	// Members are the records that a push passes on, at most maxRecords.
 	Members []roster.Member `cbor:"4,keyasint,omitempty"`
@@ -90,8 +99,8 @@
 
 // ConfigSource is a process from which a configuration can be fetched.
 type ConfigSource struct {
-	// Revision is the revision of that configuration.
-	Revision uint64
+	// Revision is the revision of that configuration, Operators the operators' version.
+	Revision, Operators uint64
 
 	// Admin is the address from which the process serves it.
 	Admin netip.AddrPort
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -74,6 +74,9 @@
 	seeds  []netip.AddrPort
 
 	revision       uint64 // of the configuration in force here
+	operators      uint64 // the operators' version of that configuration
+	era            uint64 // latest era of the store heard of
+	unsettled      bool   // the configuration in force is; see Message.Unsettled
 	revisionPushes int    // pushes that still have to carry the revision
 
 	homes         []netip.AddrPort
@@ -171,15 +174,31 @@
 	n.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == n.self.Address })
 }
 
-// SetRevision sets the revision of the configuration in force at this node. The
-// node sends a heartbeat at the next tick and pushes the revision as often as a
-// changed record.
-func (n *Node) SetRevision(revision uint64) {
-	n.revision = revision
+// SetRevision sets the revision and the operators' version of the configuration in
+// force at this node. The node sends a heartbeat at the next tick and pushes the
+// revision as often as a changed record.
+func (n *Node) SetRevision(revision, operators uint64) {
+	n.revision, n.operators = revision, operators
 	n.revisionPushes = n.pushesPerRecord()
 	n.lastHeartbeat = time.Time{}
 }
 
+// ObserveEra records an era of the store and returns the latest one heard of here. A new
+// one is pushed like a new revision.
+func (n *Node) ObserveEra(era uint64) uint64 {
+	if era > n.era {
+		n.era = era
+		n.revisionPushes = n.pushesPerRecord()
+	}
+	return n.era
+}
+
+// SetUnsettled sets whether the configuration in force is unsettled; see
+// Message.Unsettled.
+func (n *Node) SetUnsettled(unsettled bool) {
+	n.unsettled = unsettled
+}
+
 // SetWeight sets the node's weight; see roster.Member. If that changes it, the
 // node sends a heartbeat at the next tick.
 func (n *Node) SetWeight(weight uint8) {
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -15,9 +15,14 @@
 // Config is one revision of the whole configuration.
 type Config struct {
 	// Revision increases with every accepted change; Apply adds 1. 0 means that there
-	// is no configuration yet.
+	// is no configuration yet. If operators write to the store themselves, it is the
+	// store's revision with the store's era; see package revno.
 	Revision uint64 `json:"revision"`
 
+	// Operators is the operators' own version of the configuration, which they increase
+	// with every change but those of Domain.Out; 0 if they keep none.
+	Operators uint64 `json:"operators,omitempty"`
+
 	// Domains are the failure domains, sorted by name.
 	Domains []Domain `json:"domains"`
 
@@ -138,6 +143,7 @@
 func (c *Config) Clone() *Config {
 	return &Config{
 		Revision:         c.Revision,
+		Operators:        c.Operators,
 		Domains:          slices.Clone(c.Domains),
 		Services:         slices.Clone(c.Services),
 		DrainedUpstreams: slices.Clone(c.DrainedUpstreams),
@@ -147,6 +153,15 @@
 	}
 }
 
+// NewerThan reports whether c is newer than another configuration: by the operators'
+// version if both have one, since the store may lose changes, and then by the revision.
+func (c *Config) NewerThan(other *Config) bool {
+	if c.Operators != other.Operators && c.Operators > 0 && other.Operators > 0 {
+		return c.Operators > other.Operators
+	}
+	return c.Revision > other.Revision
+}
+
 // Classify returns the class of a request: the one with the longest matching path
 // prefix. Of two with equal prefixes, the one that names the method wins.
 func (s *Service) Classify(method, path string) (Class, bool) {
--- a/internal/state/config/delta.go
+++ b/internal/state/config/delta.go
@@ -16,6 +16,9 @@
 	From uint64 `json:"from"`
 	To   uint64 `json:"to"`
 
+	// Operators replaces the previous version.
+	Operators uint64 `json:"operators,omitempty"`
+
 	// Domains and DrainedUpstreams replace the previous lists.
 	Domains          []Domain `json:"domains"`
 	DrainedUpstreams []string `json:"drained,omitempty"`
@@ -36,7 +39,7 @@
 
 // Diff returns the delta from one configuration to a later one. It shares memory with to.
 func Diff(from, to *Config) Delta {
-	d := Delta{From: from.Revision, To: to.Revision, Domains: to.Domains, DrainedUpstreams: to.DrainedUpstreams, IdleTimeout: to.IdleTimeout}
+	d := Delta{From: from.Revision, To: to.Revision, Operators: to.Operators, Domains: to.Domains, DrainedUpstreams: to.DrainedUpstreams, IdleTimeout: to.IdleTimeout}
 	d.Services, d.RemovedServices = diffItems(from.Services, to.Services, serviceName, (*Service).equal)
 	d.Routes, d.RemovedRoutes = diffItems(from.Routes, to.Routes, routeName, (*Route).equal)
 	return d
@@ -50,7 +53,7 @@
 		return nil, errors.WithMessagef(ErrRevisionGap, "revision %d, delta from %d to %d", c.Revision, d.From, d.To)
 	}
 	next := &Config{
-		Revision: d.To, Domains: slices.Clone(d.Domains), DrainedUpstreams: slices.Clone(d.DrainedUpstreams), IdleTimeout: d.IdleTimeout,
+		Revision: d.To, Operators: d.Operators, Domains: slices.Clone(d.Domains), DrainedUpstreams: slices.Clone(d.DrainedUpstreams), IdleTimeout: d.IdleTimeout,
 		Services: patchItems(c.Services, d.Services, d.RemovedServices, serviceName),
 		Routes:   patchItems(c.Routes, d.Routes, d.RemovedRoutes, routeName),
 	}
@@ -60,7 +63,7 @@
 
 // Then combines d with the delta that starts at the revision where d ends.
 func (d Delta) Then(next Delta) Delta {
-	joined := Delta{From: d.From, To: next.To, Domains: next.Domains, DrainedUpstreams: next.DrainedUpstreams, IdleTimeout: next.IdleTimeout}
+	joined := Delta{From: d.From, To: next.To, Operators: next.Operators, Domains: next.Domains, DrainedUpstreams: next.DrainedUpstreams, IdleTimeout: next.IdleTimeout}
 	joined.Services, joined.RemovedServices = joinChanges(d.Services, next.Services, d.RemovedServices, next.RemovedServices, serviceName)
 	joined.Routes, joined.RemovedRoutes = joinChanges(d.Routes, next.Routes, d.RemovedRoutes, next.RemovedRoutes, routeName)
 	return joined
--- a/internal/transport/ctrl/adopt.go
+++ b/internal/transport/ctrl/adopt.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/adopt"
 	"github.com/coriandershift/coriandershift/internal/coordination/member"
 	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/revno"
 )
 
 // ConfigFetcher fetches configurations from peers.
@@ -24,30 +27,57 @@
 	return p.history.Since(revision)
 }
 
-// Adopt puts a configuration in force if its revision is higher than the present
-// one's, and reports whether it did. source is only logged.
+// Adopt puts a configuration in force if it is newer than the present one, and reports
+// whether it did. source is only logged.
 func (p *Plane) Adopt(cfg *config.Config, source string) bool {
+	return p.offer(cfg, adopt.FromStore, source) == adopt.Adopt
+}
+
+// offer puts a configuration in force if it is newer than the present one. One from a
+// store that came back from an older copy may be held back; see package adopt.
+func (p *Plane) offer(cfg *config.Config, origin adopt.Origin, source string) adopt.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if cfg.Revision <= p.cfg.Revision {
-		return false
+	previous := p.gate.InForce()
+	decision := p.gate.Offer(time.Now(), cfg, origin)
+	switch decision {
+	case adopt.Hold:
+		p.metrics.HeldConfigs.Inc()
+		p.log.Warn("configuration held back: the store came back from an older copy", "era", revno.Revision(cfg.Revision).Era(),
+			"revision", cfg.Revision, "operators", cfg.Operators, "operatorsInForce", previous.Operators, "source", source)
+	case adopt.Adopt:
+		p.history.Add(config.Diff(previous, cfg))
+		p.node.SetRevision(cfg.Revision, cfg.Operators)
+		p.metrics.ConfigRevision.Set(float64(cfg.Revision))
+		p.log.Info("configuration in force", "revision", cfg.Revision, "operators", cfg.Operators, "source", source)
+		p.signal()
 	}
+	return decision
+}
 
-	p.history.Add(config.Diff(p.cfg, cfg))
-	p.cfg = cfg
-	p.node.SetRevision(cfg.Revision)
-	p.metrics.ConfigRevision.Set(float64(cfg.Revision))
-	p.log.Info("configuration in force", "revision", cfg.Revision, "source", source)
-	p.signal()
-	return true
+// observeEra exchanges the latest era of the store between the store's client and the
+// peers. It must be called with the lock held.
+func (p *Plane) observeEra() {
+	p.node.SetUnsettled(p.gate.Unsettled(time.Now()))
+	if p.store == nil {
+		return
+	}
+	era := p.node.ObserveEra(p.store.ObserveEra(p.era))
+	if era > p.era {
+		p.log.Warn("the store came back from an older copy", "era", era)
+		p.era = p.store.ObserveEra(era)
+		p.gate.ObserveEra(time.Now(), p.era)
+		p.metrics.StoreEra.Set(float64(p.era))
+	}
 }
 
 // fetch fetches the configuration of a peer in the background, unless another fetch
-// is running or the peer's revision is not higher.
+// is running or the peer's is not newer.
 func (p *Plane) fetch(source member.ConfigSource) {
 	p.mu.Lock()
-	skip := p.fetching || source.Revision <= p.cfg.Revision
+	offered := config.Config{Revision: source.Revision, Operators: source.Operators}
+	skip := p.fetching || !offered.NewerThan(p.gate.InForce())
 	if !skip {
 		p.fetching = true
 	}
@@ -64,7 +94,7 @@
 		if err != nil {
 			p.log.Warn("cannot fetch configuration", "peer", source.Admin, "error", err)
 		} else {
-			p.Adopt(cfg, "peer")
+			p.offer(cfg, adopt.FromPeer, "peer")
 		}
 
 		p.mu.Lock()
--- a/internal/transport/ctrl/census.go
+++ b/internal/transport/ctrl/census.go
@@ -45,8 +45,13 @@
 func (p *Plane) PublishCensus(ctx context.Context) {
 	var written Census // by this process
 	var revision int64
+	var era uint64 // of the store when the census was written
 	for ; ctx.Err() == nil; sleep(ctx, censusInterval) {
 		census, responsible := p.currentCensus()
+		if latest := p.latestEra(); latest > era {
+			// What was written may be lost, and revisions are given out again.
+			era, written, revision = latest, Census{}, 0
+		}
 		if !responsible || census.equal(&written) {
 			continue
 		}
@@ -67,10 +72,19 @@
 	}
 }
 
-// censusRevision returns the store's revision of the census, or the given known one if
-// the census cannot be read.
+func (p *Plane) latestEra() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
+}
+
+// censusRevision returns the store's revision of the census, 0 if there is none, or the
+// given known one if the census cannot be read.
 func (p *Plane) censusRevision(ctx context.Context, known int64) int64 {
 	entry, err := p.store.Get(ctx, censusKey)
+	if errors.Is(err, coriandershift.ErrNotFound) {
+		return 0
+	}
 	if err != nil {
 		p.log.Warn("cannot read census", "error", err)
 		return known
--- a/internal/transport/ctrl/ctrl.go
+++ b/internal/transport/ctrl/ctrl.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/coordination/adopt"
 	"github.com/coriandershift/coriandershift/internal/coordination/member"
 	"github.com/coriandershift/coriandershift/internal/protocol/gossip"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -47,7 +48,8 @@
 
 	mu            sync.Mutex
 	node          *member.Node
-	cfg           *config.Config
+	gate          *adopt.Gate // has the configuration in force
+	era           uint64      // latest era of the store heard of
 	history       config.History
 	fetching      bool          // a fetch from a peer is running
 	changed       chan struct{} // holds up to one signal
@@ -60,7 +62,7 @@
 	Keys          keyset.Set
 	Log           *slog.Logger
 	Metrics       *metric.Set
-	Store         coriandershift.Store
+	Store         coriandershift.Store // nil for a process that never calls it
 	ConfigFetcher ConfigFetcher
 	Seeds         []netip.AddrPort
 
@@ -88,7 +90,7 @@
 		codec:   gossip.New(o.Keys),
 		conn:    conn,
 		node:    member.New(o.Self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		cfg:     &config.Config{},
+		gate:    adopt.New(),
 		changed: make(chan struct{}, 1),
 	}
 	p.node.SetSeeds(o.Seeds)
@@ -112,7 +114,7 @@
 func (p *Plane) Config() *config.Config {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cfg
+	return p.gate.InForce()
 }
 
 // Members returns all known members, sorted by address.
@@ -245,6 +247,7 @@
 
 func (p *Plane) tick() {
 	p.mu.Lock()
+	p.observeEra()
 	sends := p.node.Tick(time.Now())
 	p.mu.Unlock()
 
--- a/internal/transport/ctrl/source.go
+++ b/internal/transport/ctrl/source.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/coordination/adopt"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 )
 
@@ -121,8 +122,10 @@
 }
 
 // followChanges adopts cfg, or the source's configuration if cfg is nil, and all changes
-// after it. It returns nil if the context ends or the store has compacted the next
-// changes, so that the configuration must be read anew; otherwise the store's error.
+// after it. It returns nil if the context ends or the configuration must be read anew:
+// because the store has compacted the next changes or came back from an older copy, or
+// since the last one was held back and may be in force now. Otherwise it returns the
+// store's error.
 func (p *Plane) followChanges(ctx context.Context, source coriandershift.ConfigSource, cfg *config.Config) error {
 	if cfg == nil {
 		var err error
@@ -131,18 +134,19 @@
 		}
 	}
 	p.logStoreState(nil)
-	p.Adopt(cfg, "store")
+	decision := p.offer(cfg, adopt.FromStore, "store")
 
 	after := cfg.Revision
 	for ctx.Err() == nil {
-		next, revision, err := source.Next(ctx, cfg, after)
+		next, revision, err := p.nextChange(ctx, source, cfg, after, decision)
 		if errors.Is(err, coriandershift.ErrCompacted) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if p.Adopt(next, "store") {
+		decision = p.offer(next, adopt.FromStore, "store")
+		if decision == adopt.Adopt {
 			sleep(ctx, burstDelay)
 		}
 		cfg, after = next, revision
@@ -150,6 +154,22 @@
 	return nil
 }
 
+// nextChange waits for the next change; decision is that on the previous configuration.
+// If that was held back, nextChange returns ErrCompacted after adopt.SettleTime, so that
+// the configuration is read again.
+func (p *Plane) nextChange(ctx context.Context, source coriandershift.ConfigSource, cfg *config.Config, after uint64, decision adopt.Decision) (*config.Config, uint64, error) {
+	if decision != adopt.Hold {
+		return source.Next(ctx, cfg, after)
+	}
+	limited, cancel := context.WithTimeout(ctx, adopt.SettleTime)
+	defer cancel()
+	next, revision, err := source.Next(limited, cfg, after)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		err = coriandershift.ErrCompacted
+	}
+	return next, revision, err
+}
+
 // logStoreState logs if the store has stopped or resumed answering; err is the result of
 // the last call.
 func (p *Plane) logStoreState(err error) {
--- a/internal/transport/ctrl/source_test.go
+++ b/internal/transport/ctrl/source_test.go
@@ -48,6 +48,8 @@
 	return e, nil
 }
 
+func (m *memoryStore) ObserveEra(uint64) uint64 { return 0 }
+
 func (m *memoryStore) GetStale(ctx context.Context, key string) (coriandershift.Entry, error) {
 	return m.Get(ctx, key)
 }
--- a/internal/transport/ctrl/watch.go
+++ b/internal/transport/ctrl/watch.go
@@ -19,7 +19,7 @@
 // balancer holds one of the watchersPerDomain places of its failure domain. As long as
 // no configuration is in force, it reads the store even without a place.
 func (p *Plane) WatchConfig(ctx context.Context) {
-	committer := commit.New(p.store)
+	committer := commit.New(p.store, commit.WithInForce(p.Config))
 	go p.loadInitialSnapshot(ctx, committer)
 	p.holdPlace(ctx, watchPrefix, watchersPerDomain, func(leased context.Context) { p.followStore(leased, committer) })
 }
@@ -45,7 +45,10 @@
 			continue
 		}
 
-		p.Adopt(snapshot.Config, "store")
+		if !p.Adopt(snapshot.Config, "store") && snapshot.Config.Revision < p.Config().Revision {
+			p.restoreStore(ctx, committer)
+			continue
+		}
 		watchStart := time.Now()
 		_, err = p.store.Watch(ctx, commit.RootKey, snapshot.StoreRevision)
 		if err != nil && time.Since(watchStart) < storeRetryDelay {
@@ -53,3 +56,16 @@
 		}
 	}
 }
+
+// restoreStore writes the configuration in force back to a store that has an earlier one.
+func (p *Plane) restoreStore(ctx context.Context, committer *commit.Committer) {
+	restored, err := committer.Restore(ctx)
+	switch {
+	case restored:
+		p.log.Warn("store had an older configuration; wrote back the one in force", "revision", p.Config().Revision)
+		return
+	case err != nil:
+		p.log.Warn("store has an older configuration, which cannot be replaced", "revision", p.Config().Revision, "error", err)
+	}
+	sleep(ctx, storeRetryDelay)
+}
--- a/internal/transport/metric/metric.go
+++ b/internal/transport/metric/metric.go
@@ -54,6 +54,11 @@
 	// ConfigRevision is the revision of the configuration in force.
 	ConfigRevision prometheus.Gauge
 
+	// StoreEra is the latest era of the store heard of; HeldConfigs counts the
+	// configurations that were held back because of a new era.
+	StoreEra    prometheus.Gauge
+	HeldConfigs prometheus.Counter
+
 	// Members is the number of known members that are not dead.
 	Members prometheus.Gauge
 
@@ -86,6 +91,11 @@
 	s.StoreCalls = s.counter("store_calls_total", "Calls to the platform's store.", "call", "result")
 	s.InvariantViolations = s.counter("invariant_violations_total", "Broken invariants.", "invariant")
 	s.ConfigRevision = s.gauge("config_revision", "Configuration in force.")
+	s.StoreEra = s.gauge("store_era", "Latest era of the store heard of.")
+	s.HeldConfigs = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "held_configs_total", Help: "Configurations held back because of a new era of the store.",
+	})
+	s.registry.MustRegister(s.HeldConfigs)
 	s.Members = s.gauge("members", "Known members that are not dead.")
 	s.SlotLimit = s.gauge("slot_limit", "Requests that the upstream may run at once now.")
 	s.SlotsUsed = s.gauge("slots_used", "Requests that the upstream runs.")
--- a/internal/transport/store/client.go
+++ b/internal/transport/store/client.go
@@ -48,6 +48,12 @@
 	return c
 }
 
+// ObserveEra returns 0: the API has no eras. After a restore from a snapshot, balancers
+// write the configuration in force back; see commit.Committer.Restore.
+func (c *Client) ObserveEra(uint64) uint64 {
+	return 0
+}
+
 // Get returns one entry, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, key string) (coriandershift.Entry, error) {
 	return c.get(ctx, etcd.RangeRequest{Key: []byte(key)})
--- a/store.go
+++ b/store.go
@@ -26,6 +26,9 @@
 
 	// ErrLeaseLost reports a lease that has lapsed.
 	ErrLeaseLost = errors.New("lease has lapsed")
+
+	// ErrOldEra reports an answer from before the store came back from an older copy.
+	ErrOldEra = errors.New("answer is from an earlier era of the store")
 )
 
 // Entry is one key and its value.
@@ -33,15 +36,22 @@
 	Key   string
 	Value []byte
 
-	// Revision is the store's revision of the last change of the key; 0 if it does not exist.
+	// Revision is the store's revision of the last change of the key, with the store's
+	// era as in package revno; 0 if the key does not exist.
 	Revision int64
 }
 
 // Lease is the ID of a lease of the store; 0 means no lease.
 type Lease int64
 
-// Store is the platform's key-value store.
+// Store is the platform's key-value store. It may come back from an older copy of itself,
+// which begins a new era: what was written since the copy is gone, and revisions are
+// given out again. Calls with a revision of an earlier era fail.
 type Store interface {
+	// ObserveEra records an era that a peer has heard of, 0 for none, and returns the
+	// latest era heard of.
+	ObserveEra(era uint64) uint64
+
 	// Get returns one entry, or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
 
@@ -52,7 +62,8 @@
 	List(ctx context.Context, prefix string) ([]Entry, error)
 
 	// CompareAndSwap writes a value if the key's revision is still the given one; 0 means that it must not exist.
-	// It returns ErrConflict if not, and ErrUnknownOutcome if no answer came.
+	// It returns ErrConflict if not, also if the revision is of an earlier era, and
+	// ErrUnknownOutcome if no answer came or a new era began meanwhile.
 	CompareAndSwap(ctx context.Context, key string, value []byte, revision int64, lease Lease) error
 
 	// Watch waits until a key changes after a revision of the store and returns its entry.
