Repeat the first heartbeats sooner and probe absent members faster

An agent that starts before its balancers was heard of only with its second heartbeat, 200 ms later, and nothing can be placed before half of the members are known.

Change: heartbeats every 100 ms for the first half second until one is acknowledged; four probes, 150 ms apart.

--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -64,7 +64,13 @@
 // heartbeatDelay returns the time between two heartbeats. It is shorter for a
 // process that has just started and has not been acknowledged yet.
 func (n *Node) heartbeatDelay(now time.Time) time.Duration {
-	if n.lastAck.IsZero() && !n.started.IsZero() && now.Sub(n.started) < joinPeriod {
+	if !n.lastAck.IsZero() || n.started.IsZero() {
+		return HeartbeatInterval
+	}
+	switch age := now.Sub(n.started); {
+	case age < startPeriod:
+		return startInterval
+	case age < joinPeriod:
 		return joinInterval
 	}
 	return HeartbeatInterval
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -37,7 +37,13 @@
 	// TickInterval is the interval at which Tick must be called.
 	TickInterval = 100 * time.Millisecond
 
-	joinInterval = 200 * time.Millisecond // between heartbeats until the first acknowledgement, and between join requests
+	// startInterval is the time between heartbeats until the first acknowledgement, for
+	// startPeriod after the start: if all processes start together, the first heartbeats
+	// arrive before the balancers listen. Later it is joinInterval.
+	startInterval = TickInterval
+	startPeriod   = 500 * time.Millisecond
+
+	joinInterval = 200 * time.Millisecond // also between join requests
 	joinPeriod   = 10 * time.Second       // time after the start in which joinInterval applies
 
 	// startDigestInterval is the time between two digests of a balancer that takes no
--- a/internal/coordination/member/restart_test.go
+++ b/internal/coordination/member/restart_test.go
@@ -95,3 +95,29 @@
 		t.Errorf("%d pushes between 3 and 5 s after the restart", pushes)
 	}
 }
+
+// After a restart of everything, agents that started a moment before the balancers used
+// to be heard of 0.2 s later, in which no flow could be placed.
+func TestAnAgentThatStartsBeforeItsBalancersIsSoonKnown(t *testing.T) {
+	f := newFleet(t, 1, 4, 8)
+	for _, h := range f.nodes {
+		h.down = h.role == roster.Balancer
+	}
+	f.run(member.TickInterval)
+	f.inFlight = nil // nobody listened
+	for _, h := range f.nodes {
+		if h.down {
+			f.start(h)
+		}
+	}
+	f.run(2 * member.TickInterval)
+	known := 0
+	for _, h := range f.nodes {
+		if h.role == roster.Balancer {
+			known = max(known, h.node.Roster().Len())
+		}
+	}
+	if known < len(f.nodes)/2 {
+		t.Errorf("no balancer knows more than %d of %d members", known, len(f.nodes))
+	}
+}
--- a/internal/coordination/steer/absent.go
+++ b/internal/coordination/steer/absent.go
@@ -14,11 +14,11 @@
 
 	// probeInterval is the time between two probes of an absent member, within which a
 	// running one answers.
-	probeInterval = 200 * time.Millisecond
+	probeInterval = 150 * time.Millisecond
 
 	// probesUntilGone is the number of consecutive unanswered probes after which an
 	// absent member counts as gone.
-	probesUntilGone = 5
+	probesUntilGone = 4
 
 	// minGoneDivisor sets how many members may be absent for any to count as gone:
 	// the expected members divided by minGoneDivisor, at least minGone. If more are
