Compare what callers get with the best that is possible

An oracle in the model's world knows all requests that wait and since when, but not how long each will take.

--- a/internal/coordination/model/placing_test.go
+++ b/internal/coordination/model/placing_test.go
@@ -100,6 +100,44 @@
 	}
 }
 
+// lateWorth is the worth of a late answer; one in time is worth 1. The users' routes all
+// have this ratio.
+const lateWorth = 0.3
+
+func (r *results) worth() float64 {
+	return r.inTimeShare() + lateWorth*(r.answeredShare()-r.inTimeShare())
+}
+
+// TestCallersGetNearlyWhatIsPossible compares what callers get around an outage, during a
+// cut and at capacity with the best that is possible. The goal is 0.9 of it.
+// TestCallersGetWhatCapacityAllows is about overload, for which the oracle is no bound:
+// there it goes on serving those who are nearly late.
+func TestCallersGetNearlyWhatIsPossible(t *testing.T) {
+	const shareOfPossible = 0.9
+	experiments := map[string]experiment{
+		"calm":                     {load: 0.45},
+		"at capacity":              {load: 1},
+		"balancers out for 0.6 s":  {load: 0.45, balancerOutage: 600 * time.Millisecond},
+		"everything out for 1.6 s": {load: 0.45, outage: 1600 * time.Millisecond},
+		"two agents of seven cut":  {load: 0.45, unreachable: 2},
+	}
+	for name, e := range experiments {
+		for callers, profile := range map[string]profile{"patient": patient, "impatient": impatient} {
+			for _, slots := range []int{2, 3, 8} {
+				t.Run(fmt.Sprintf("%s, %s callers, %d slots", name, callers, slots), func(t *testing.T) {
+					e := e
+					e.seed, e.policy, e.slots, e.callers, e.duration = 1, pick.DefaultPolicy, slots, profile, 10*time.Second
+					got, possible := newLoadSim(e).run(), runOracle(e)
+					t.Logf("worth %.3f of %.3f: %.3f", got.worth(), possible.worth(), got.worth()/possible.worth())
+					if got.worth() < shareOfPossible*possible.worth() {
+						t.Errorf("worth %.3f, possible %.3f", got.worth(), possible.worth())
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestPlacingTable logs what callers get under each policy if PLACING_TABLE is set.
 func TestPlacingTable(t *testing.T) {
 	if os.Getenv("PLACING_TABLE") == "" {
