--- a/internal/coordination/model/placing_test.go
+++ b/internal/coordination/model/placing_test.go
@@ -109,7 +109,7 @@
 }
 
 // TestCallersGetNearlyWhatIsPossible compares what callers get around an outage, during a
-// cut and at capacity with the best that is possible. The goal is 0.9 of it.
+// cut and at capacity with what the oracle reaches. The goal is 0.9 of it.
 // TestCallersGetWhatCapacityAllows is about overload, for which the oracle is no bound:
 // there it goes on serving those who are nearly late.
 func TestCallersGetNearlyWhatIsPossible(t *testing.T) {
