--- a/internal/coordination/commit/commit.go
+++ b/internal/coordination/commit/commit.go
@@ -176,7 +176,8 @@
 		return 0, err
 	}
 
-	value, err := json.Marshal(newRoot(next.Revision, parts, current.changes, change.ID))
+	changes := append(slices.Clone(current.changes), doneChange{ID: change.ID, Revision: next.Revision})
+	value, err := json.Marshal(newRoot(next.Revision, parts, changes))
 	if err != nil {
 		return 0, errors.Wrap(err, "encode root")
 	}
@@ -188,37 +189,6 @@
 	return next.Revision, nil
 }
 
-// Restore writes the configuration in force back to the store if the store has an earlier
-// one, and reports whether it did. Without that, revisions would be given out again for
-// other configurations, which the processes would ignore.
-func (c *Committer) Restore(ctx context.Context) (bool, error) {
-	current, err := c.Load(ctx)
-	if err != nil {
-		return false, err
-	}
-	return c.restore(ctx, current)
-}
-
-func (c *Committer) restore(ctx context.Context, current Snapshot) (bool, error) {
-	cfg := c.inForce()
-	if cfg.Revision <= current.Config.Revision {
-		return false, nil
-	}
-	parts := cfg.Split()
-	if err := c.putParts(ctx, current.parts, parts); err != nil {
-		return false, err
-	}
-	r := newRoot(cfg.Revision, parts, current.changes, "restore")
-	value, err := json.Marshal(r)
-	if err != nil {
-		return false, errors.Wrap(err, "encode root")
-	}
-	if err := c.store.CompareAndSwap(ctx, RootKey, value, current.StoreRevision, 0); err != nil {
-		return false, err
-	}
-	return true, nil
-}
-
 func (c *Committer) putParts(ctx context.Context, stored []partName, parts []config.Part) error {
 	for _, p := range parts {
 		if slices.Contains(stored, partName{Name: p.Name, Hash: p.Hash}) {
@@ -283,8 +253,8 @@
 	c.cache = cache
 }
 
-func newRoot(revision uint64, parts []config.Part, changes []doneChange, id string) root {
-	r := root{Revision: revision, Changes: append(slices.Clone(changes), doneChange{ID: id, Revision: revision})}
+func newRoot(revision uint64, parts []config.Part, changes []doneChange) root {
+	r := root{Revision: revision, Changes: changes}
 	if excess := len(r.Changes) - rememberedChanges; excess > 0 {
 		r.Changes = r.Changes[excess:]
 	}
--- a/internal/coordination/steer/absent.go
+++ b/internal/coordination/steer/absent.go
@@ -31,29 +31,24 @@
 	probeQueryID = 0
 )
 
-// absence is what is known of an expected member that this balancer has not heard of.
-// Such members are usually VMs that were removed shortly before all processes
-// restarted, while the census still listed them.
-type absence struct {
-	unanswered int // probes since the last answer
-}
-
-// gone reports whether the member has left all probes unanswered.
-func (a *absence) gone() bool {
-	return a != nil && a.unanswered > probesUntilGone
-}
-
 // isKnown reports whether this balancer has heard of an expected member.
 func (r *Router) isKnown(member flow.Endpoint) bool {
 	_, isBalancer := r.balancers[member]
 	return isBalancer || r.agents[member] != nil
 }
 
+// isGone reports whether an expected member has left all probes unanswered. Such members
+// are usually VMs that were removed shortly before all processes restarted, while the
+// census still listed them.
+func (r *Router) isGone(member flow.Endpoint) bool {
+	return r.unansweredProbes[member] > probesUntilGone
+}
+
 // GoneCount returns the number of expected members that count as gone.
 func (r *Router) GoneCount() int {
 	count := 0
-	for _, a := range r.absent {
-		if a.gone() {
+	for member := range r.unansweredProbes {
+		if r.isGone(member) {
 			count++
 		}
 	}
@@ -61,32 +56,28 @@
 }
 
 // probeAbsent sends a probe to the expected members that this balancer has not heard
-// of. An agent that runs answers it, although a balancer does not: an absent balancer
-// matters only for the agents that it may know, which announce themselves.
+// of. An agent that runs answers it. A balancer does not, but it matters only for the
+// agents that it may know, which announce themselves.
 func (r *Router) probeAbsent(now time.Time) {
 	if r.converged || !r.expectedSet || now.Sub(r.started) < firstProbeDelay || now.Sub(r.lastProbe) < probeInterval {
 		return
 	}
-	absent := make(map[flow.Endpoint]*absence)
+	unanswered := map[flow.Endpoint]int{}
 	for _, member := range r.expected {
-		if r.isKnown(member) {
-			continue
-		}
-		absent[member] = r.absent[member]
-		if absent[member] == nil {
-			absent[member] = &absence{}
+		if !r.isKnown(member) {
+			unanswered[member] = r.unansweredProbes[member]
 		}
 	}
-	r.absent = absent
-	if len(absent) > max(minGone, len(r.expected)/minGoneDivisor) {
+	r.unansweredProbes = unanswered
+	if len(unanswered) > max(minGone, len(r.expected)/minGoneDivisor) {
 		return
 	}
 
 	r.lastProbe = now
 	probe := fwdmsg.AppendQuestions(nil, []fwdmsg.Question{{}})
-	for member, a := range absent {
-		a.unanswered++
-		if a.gone() {
+	for member := range unanswered {
+		unanswered[member]++
+		if r.isGone(member) {
 			continue
 		}
 		r.send(Action{
@@ -98,7 +89,7 @@
 
 // recordProbeReply notes that an absent member runs: this balancer will hear of it.
 func (r *Router) recordProbeReply(member flow.Endpoint) {
-	if a := r.absent[member]; a != nil {
-		a.unanswered = 0
+	if _, absent := r.unansweredProbes[member]; absent {
+		r.unansweredProbes[member] = 0
 	}
 }
--- a/internal/coordination/steer/converge.go
+++ b/internal/coordination/steer/converge.go
@@ -74,7 +74,7 @@
 		}
 	}
 	return r.expectedSet && !slices.ContainsFunc(r.expected, func(e flow.Endpoint) bool {
-		return !r.isKnown(e) && !r.absent[e].gone()
+		return !r.isKnown(e) && !r.isGone(e)
 	})
 }
 
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -107,18 +107,19 @@
 	lastQueryID    uint16
 
 	// expected are the members that were known before the start; valid if expectedSet.
-	// absent are those of them that this balancer had not heard of at lastProbe.
+	// unansweredProbes are, by member, the latest probes without an answer of those of them
+	// that this balancer had not heard of at lastProbe.
 	// balancers has an entry for each known balancer, this one included: true if it is
 	// another one that was alive and had converged (its Weight was above 0) when this
 	// balancer first heard of it.
-	expected    []flow.Endpoint
-	absent      map[flow.Endpoint]*absence
-	lastProbe   time.Time
-	balancers   map[flow.Endpoint]bool
-	expectedSet bool
-	synced      bool // a balancer that knows all members has the same list as this one
-	converged   bool // the list of agents is taken as complete
-	lastTick    time.Time
+	expected         []flow.Endpoint
+	unansweredProbes map[flow.Endpoint]int
+	lastProbe        time.Time
+	balancers        map[flow.Endpoint]bool
+	expectedSet      bool
+	synced           bool // a balancer that knows all members has the same list as this one
+	converged        bool // the list of agents is taken as complete
+	lastTick         time.Time
 
 	lastSweep time.Time
 	actions   []Action
