--- a/internal/coordination/adopt/adopt.go
+++ b/internal/coordination/adopt/adopt.go
@@ -14,7 +14,7 @@
 
 // SettleTime is the time after a new era was first heard of in which failure domains are
 // kept as they are: operators may not have written yet again which ones are out. It is
-// short enough for a new change to be in force within the users' 5 s.
+// short enough for a new change to be in force within the platform's limit of 3 s.
 const SettleTime = 2 * time.Second
 
 // Decision says what to do with a configuration.
--- a/internal/coordination/adopt/drill_test.go
+++ b/internal/coordination/adopt/drill_test.go
@@ -23,7 +23,8 @@
 	// rewriteTime is the longest time until operators have written everything again.
 	rewriteTime = adopt.SettleTime - 200*time.Millisecond
 
-	// inForceWithin is the users' bound for a change, from its writing.
+	// inForceWithin is the platform's limit from the writing of a change until it is in
+	// force.
 	inForceWithin = 3 * time.Second
 )
 
--- a/internal/coordination/steer/absent.go
+++ b/internal/coordination/steer/absent.go
@@ -9,7 +9,7 @@
 
 const (
 	// firstProbeDelay is the time after this balancer's start from which absent members
-	// are probed. Processes that are killed together start again within 0.3 s.
+	// are probed. Members that started at the same moment have announced themselves by then.
 	firstProbeDelay = 400 * time.Millisecond
 
 	// probeInterval is the time between two probes of an absent member, within which a
@@ -20,12 +20,11 @@
 	// absent member counts as gone.
 	probesUntilGone = 4
 
-	// minGoneDivisor sets how many members may be absent for any to count as gone:
-	// the expected members divided by minGoneDivisor, at least minGone. If more are
-	// absent, the network is more likely to be partitioned, or the members to be
-	// starting still.
-	minGoneDivisor = 8
-	minGone        = 2
+	// Absent members are probed only while at most one of maxAbsentDivisor expected
+	// members is absent, or minAbsentLimit in a small fleet. If more are absent, the
+	// network is more likely to be partitioned, or the members to be starting still.
+	maxAbsentDivisor = 8
+	minAbsentLimit   = 2
 
 	// probeQueryID is the QueryID of all probes. Queries about flows have others.
 	probeQueryID = 0
@@ -69,7 +68,7 @@
 		}
 	}
 	r.unansweredProbes = unanswered
-	if len(unanswered) > max(minGone, len(r.expected)/minGoneDivisor) {
+	if len(unanswered) > max(minAbsentLimit, len(r.expected)/maxAbsentDivisor) {
 		return
 	}
 
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -107,8 +107,8 @@
 	lastQueryID    uint16
 
 	// expected are the members that were known before the start; valid if expectedSet.
-	// unansweredProbes are, by member, the latest probes without an answer of those of them
-	// that this balancer had not heard of at lastProbe.
+	// unansweredProbes counts, for each of them that this balancer had not heard of when it
+	// last probed, the latest probes without an answer.
 	// balancers has an entry for each known balancer, this one included: true if it is
 	// another one that was alive and had converged (its Weight was above 0) when this
 	// balancer first heard of it.
