Give waiting flows up when their callers stop waiting, and model callers as they behave

Cause: an agent kept waiting flows for 1.2 s, whatever the route. Callers of idempotent requests end an attempt whose flow does not open after a third of what is left of their deadline and try again from a new port after 25 to 100 ms; the last attempt lasts until the deadline. Others wait 1.4 s.

Change: a flow is given up after a third of its route's timeout if requests may be repeated, after the timeout otherwise, and 1.2 s at most.

--- a/internal/coordination/model/load_test.go
+++ b/internal/coordination/model/load_test.go
@@ -33,6 +33,14 @@
 	// upstreams are cold, and no load is known yet.
 	warmUp = 3 * time.Second
 
+	// openTimeout is the longest time that a caller waits for its flow to open. Attempts
+	// that others may follow share the time until the request's deadline, so that they
+	// last for a third of it at most. minPause and maxPause bound the random pause before
+	// the next attempt.
+	openTimeout = 1400 * time.Millisecond
+	minPause    = 25 * time.Millisecond
+	maxPause    = 100 * time.Millisecond
+
 	// maxBackOff bounds the random pause of a caller between a reset and its next attempt.
 	maxBackOff = 10 * time.Millisecond
 
@@ -55,6 +63,15 @@
 	impatient = profile{work: 22 * time.Millisecond, objective: 120 * time.Millisecond, deadline: 800 * time.Millisecond}  // hazard-flag
 )
 
+// attemptTimeout returns how long a caller waits for the flow of an attempt to open if
+// the request has remaining until its deadline. The last attempt lasts until then.
+func (p profile) attemptTimeout(attempt int, remaining time.Duration) time.Duration {
+	if attempt == maxAttempts {
+		return min(openTimeout, remaining)
+	}
+	return min(openTimeout, remaining/maxAttempts)
+}
+
 // experiment is the configuration of one run of a loadSim.
 type experiment struct {
 	seed    uint64
@@ -298,21 +315,33 @@
 	r.sequence = ls.random.Uint32()
 	ls.requestsByFlow[r.key] = r
 	key := r.key
-	// As on the platform, Acknowledged is the number of the retransmission in an opening packet.
-	for i, d := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+	timeout := ls.callers.attemptTimeout(r.attempts, r.startedAt.Add(ls.callers.deadline).Sub(ls.now))
+	// As on the platform, Acknowledged is the number of the retransmission in an opening
+	// packet, and the last attempt goes on although its caller has left.
+	for i, d := range openingDelays {
+		if d >= timeout && r.attempts < maxAttempts {
+			break
+		}
 		ls.schedule(d, func() {
 			if r.key == key && !r.open && !r.done {
 				ls.sendFromCaller(r, flow.Packet{Open: true, Sequence: r.sequence, SinceFirstSent: d, Acknowledged: uint32(i)})
 			}
 		})
 	}
-	ls.schedule(1400*time.Millisecond, func() {
+	if r.attempts == maxAttempts {
+		return
+	}
+	ls.schedule(timeout, func() {
 		if r.key == key && !r.open {
-			ls.attempt(r)
+			r.key = flow.Key{}
+			ls.schedule(minPause+time.Duration(ls.random.Int64N(int64(maxPause-minPause))), func() { ls.attempt(r) })
 		}
 	})
 }
 
+// openingDelays are the delays of the copies of an opening packet after the first one.
+var openingDelays = []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
 // sendFromCaller sends a caller's packet to the balancer that the fabric assigns to its flow.
 func (ls *loadSim) sendFromCaller(r *request, p flow.Packet) {
 	p.Source, p.Destination = r.key.Caller, r.key.Service
--- a/internal/coordination/model/oracle_test.go
+++ b/internal/coordination/model/oracle_test.go
@@ -62,15 +62,18 @@
 }
 
 // firstReachable returns when a caller first sends an opening packet outside the outage:
-// it sends three in each of its attempts.
+// it sends several in each of its attempts.
 func (o *oracle) firstReachable(startedAt time.Duration) time.Duration {
-	for attempt := range maxAttempts {
-		for _, d := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
-			at := startedAt + time.Duration(attempt)*1400*time.Millisecond + d
-			if at < o.down[0] || at >= o.down[1] {
+	start := startedAt
+	for attempt := 1; attempt <= maxAttempts; attempt++ {
+		timeout := o.callers.attemptTimeout(attempt, startedAt+o.callers.deadline-start)
+		for _, d := range openingDelays {
+			at := start + d
+			if d < timeout && (at < o.down[0] || at >= o.down[1]) {
 				return at
 			}
 		}
+		start += timeout + (minPause+maxPause)/2
 	}
 	return startedAt + o.callers.deadline
 }
--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
+	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/queue"
 )
@@ -35,6 +36,8 @@
 	// that still waits is refused.
 	callerTimeout = 1200 * time.Millisecond
 
+	maxAttempts = 3
+
 	// serviceTimeSmoothing is the divisor of the moving average of service times: a
 	// new one has the weight 1/serviceTimeSmoothing.
 	serviceTimeSmoothing = 16
@@ -103,13 +106,25 @@
 	firstSent := now.Add(-p.SinceFirstSent)
 	openWithin := max(0, objective-2*o.serviceTime())
 	o.backlog.Add(queue.WaitingFlow{
-		Key: key, Priority: priority, FirstSent: firstSent, OpenDeadline: firstSent.Add(openWithin), GiveUpAt: firstSent.Add(callerTimeout),
+		Key: key, Priority: priority, FirstSent: firstSent, OpenDeadline: firstSent.Add(openWithin), GiveUpAt: firstSent.Add(o.openTimeout(key)),
 		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
 	})
 	o.actions = append(o.actions, Action{Kind: Hold, Reason: Queued, Key: key, Load: o.requests})
 	o.notifyBalancer(now, key, e, false)
 }
 
+func (o *Owner) openTimeout(key flow.Key) time.Duration {
+	route := o.routes[key.Service]
+	if route == nil || route.Timeout == 0 {
+		return callerTimeout
+	}
+	timeout := route.Timeout.Duration()
+	if route.Kind == config.Idempotent {
+		timeout /= maxAttempts
+	}
+	return min(callerTimeout, timeout)
+}
+
 // expectedWait returns how long a new flow of a priority would wait if all were served
 // in order.
 func (o *Owner) expectedWait(priority int) time.Duration {
