Place flows sooner after a restart of everything

Agents got the configuration after 102 ms, since the first heartbeat arrives before balancers listen and the next one came with the next tick. Balancers that started last learnt of all agents after 100 ms and routed the packets that they held at the tick after that, at 102 to 153 ms. Start times themselves (0.27 to 0.71 s after power is back) are the VMs' own.

Change: for half a second after its start a process ticks every 20 ms and repeats heartbeats every 40 ms until it was acknowledged and has a configuration; new seeds are contacted at the next tick; a starting balancer pushes every 60 ms; held packets are routed when members or the configuration change.

--- a/internal/coordination/member/fleet_test.go
+++ b/internal/coordination/member/fleet_test.go
@@ -16,6 +16,9 @@
 const (
 	minDelay = 1500 * time.Microsecond // of a message; the delay is random, up to twice as long
 	domains  = 4                       // number of failure domains
+
+	// timeStep is the resolution of virtual time: no node ticks more often.
+	timeStep = 20 * time.Millisecond
 )
 
 // fleet runs nodes in virtual time and delivers their messages.
@@ -53,6 +56,7 @@
 	down   bool
 	paused bool
 
+	nextTick time.Time
 	affected bool // by a fault, now or earlier
 
 	// inbox holds the messages that arrived while the host was paused.
@@ -138,6 +142,7 @@
 	}
 	h.down, h.paused, h.inbox = false, false, nil
 	h.node = member.New(self, rand.New(rand.NewPCG(f.random.Uint64(), 1)))
+	h.nextTick = f.now
 
 	var seeds []netip.AddrPort
 	for _, other := range f.nodes[:min(domains, len(f.nodes))] {
@@ -148,11 +153,12 @@
 
 // run advances virtual time by d.
 func (f *fleet) run(d time.Duration) {
-	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(member.TickInterval) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(timeStep) {
 		f.deliver(f.now)
 		for _, h := range f.nodes {
-			if !h.down && !h.paused {
+			if !h.down && !h.paused && !f.now.Before(h.nextTick) {
 				f.post(h, h.node.Tick(f.now))
+				h.nextTick = f.now.Add(h.node.TickDelay(f.now))
 			}
 		}
 	}
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -61,10 +61,11 @@
 	return sends
 }
 
-// heartbeatDelay returns the time between two heartbeats. It is shorter for a
-// process that has just started and has not been acknowledged yet.
+// heartbeatDelay returns the time between two heartbeats. It is shorter for a process
+// that has just started and was not acknowledged yet, or has no configuration: the
+// balancer that acknowledged it may have had none either.
 func (n *Node) heartbeatDelay(now time.Time) time.Duration {
-	if !n.lastAck.IsZero() || n.started.IsZero() {
+	if n.started.IsZero() || (!n.lastAck.IsZero() && n.revision > 0) {
 		return HeartbeatInterval
 	}
 	switch age := now.Sub(n.started); {
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -33,13 +33,15 @@
 	// network partition has healed.
 	ConfirmStaleDeathAfter = 30 * time.Second
 
-	// TickInterval is the interval at which Tick must be called.
-	TickInterval = 100 * time.Millisecond
+	// TickInterval is the time between two calls of Tick, startTickInterval that in the
+	// startPeriod after the first one.
+	TickInterval      = 100 * time.Millisecond
+	startTickInterval = 20 * time.Millisecond
 
 	// startInterval is the time between heartbeats until the first acknowledgement, for
 	// startPeriod after the start: if all processes start together, the first heartbeats
-	// arrive before the balancers listen. Later it is joinInterval.
-	startInterval = TickInterval
+	// arrive before the balancers listen, and callers wait. Later it is joinInterval.
+	startInterval = 40 * time.Millisecond
 	startPeriod   = 500 * time.Millisecond
 
 	joinInterval = 200 * time.Millisecond // also between join requests
@@ -51,6 +53,10 @@
 	startDigestInterval = 300 * time.Millisecond
 	startDigestPeriod   = 3 * time.Second
 
+	// startPushInterval is the time between two pushes of a balancer that takes no traffic
+	// yet, for startDigestPeriod after its start; later it is pushInterval.
+	startPushInterval = 60 * time.Millisecond
+
 	pushInterval    = 200 * time.Millisecond
 	digestInterval  = 2 * time.Second
 	deadDigestEvery = 4 // every fourth digest is also sent to a balancer declared dead
@@ -191,6 +197,14 @@
 	return applied
 }
 
+// TickDelay returns the time until the next call of Tick is due, after one at now.
+func (n *Node) TickDelay(now time.Time) time.Duration {
+	if n.started.IsZero() || now.Sub(n.started) < startPeriod {
+		return startTickInterval
+	}
+	return TickInterval
+}
+
 // Tick runs the periodic tasks that are due and returns the messages to be sent.
 func (n *Node) Tick(now time.Time) []Outgoing {
 	if now.Sub(n.lastTick) > maxTickGap {
--- a/internal/coordination/member/restart_test.go
+++ b/internal/coordination/member/restart_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -121,3 +122,36 @@
 		t.Errorf("no balancer knows more than %d of %d members", known, len(f.nodes))
 	}
 }
+
+// Agents whose first heartbeat was acknowledged by a balancer without a configuration
+// used to get one a second later, with the next heartbeat, and opened no flows until then.
+func TestAProcessWithoutAConfigurationRepeatsItsHeartbeats(t *testing.T) {
+	tests := map[string]struct {
+		revision uint64
+		want     bool
+	}{
+		"without a configuration": {revision: 0, want: true},
+		"with a configuration":    {revision: 1, want: false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			home := roster.Member{Address: netip.MustParseAddrPort("10.0.0.1:7100"), Role: roster.Balancer}
+			n := member.New(roster.Member{Address: netip.MustParseAddrPort("10.0.0.2:7100"), Role: roster.Agent, Service: "s"}, rand.New(rand.NewPCG(1, 1)))
+			n.SetSeeds([]netip.AddrPort{home.Address})
+			n.SetRevision(test.revision, 0)
+			if sends := n.Tick(now); len(sends) != 1 {
+				t.Fatalf("%d messages at the start, want 1", len(sends))
+			}
+			n.Handle(now, member.Message{Kind: member.Ack, From: home, Homes: []netip.AddrPort{home.Address}})
+
+			repeated := false
+			for end := now.Add(100 * time.Millisecond); now.Before(end); now = now.Add(n.TickDelay(now)) {
+				repeated = repeated || len(n.Tick(now)) > 0
+			}
+			if repeated != test.want {
+				t.Errorf("repeated within 100 ms: %v, want %v", repeated, test.want)
+			}
+		})
+	}
+}
--- a/internal/coordination/member/self.go
+++ b/internal/coordination/member/self.go
@@ -9,8 +9,12 @@
 )
 
 // SetSeeds sets the balancers to which the node also sends its heartbeats when it
-// has no home or none answers.
+// has no home or none answers. A node that was not acknowledged yet sends one at the next
+// tick.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) {
+	if n.lastAck.IsZero() {
+		n.lastHeartbeat = time.Time{}
+	}
 	n.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == n.self.Address })
 }
 
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -25,7 +25,7 @@
 // push returns the messages of one push if any are due: the pending records, or
 // only the revision if there are none. Each goes to fanout random balancers.
 func (n *Node) push(now time.Time) []Outgoing {
-	if len(n.pendingPushes)+n.revisionPushes == 0 || now.Sub(n.lastPush) < pushInterval {
+	if len(n.pendingPushes)+n.revisionPushes == 0 || now.Sub(n.lastPush) < n.pushDelay(now) {
 		return nil
 	}
 	n.lastPush = now
@@ -46,6 +46,20 @@
 	return sends
 }
 
+// pushDelay returns the time between two pushes.
+func (n *Node) pushDelay(now time.Time) time.Duration {
+	if n.isStarting(now) {
+		return startPushInterval
+	}
+	return pushInterval
+}
+
+// isStarting reports whether this balancer takes no traffic yet and started less than
+// startDigestPeriod ago.
+func (n *Node) isStarting(now time.Time) bool {
+	return n.self.Weight == 0 && !n.synced && now.Sub(n.started) < startDigestPeriod
+}
+
 // takePending returns the records of one push, divided into messages, and counts
 // them as pushed. If there are more than fit, as after an outage, each is pushed only
 // once and digests repair what that leaves out. Without pending records takePending
@@ -135,7 +149,7 @@
 
 // digestDelay returns the time between two digests.
 func (n *Node) digestDelay(now time.Time) time.Duration {
-	if n.self.Weight == 0 && !n.synced && now.Sub(n.started) < startDigestPeriod {
+	if n.isStarting(now) {
 		return startDigestInterval
 	}
 	return digestInterval
--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -37,6 +37,14 @@
 	return true
 }
 
+// RouteHeld routes the held packets if enough members and the configuration are known by
+// now. The actions are valid until the next call of a method that returns actions.
+func (r *Router) RouteHeld(now time.Time) []Action {
+	r.actions = r.actions[:0]
+	r.routeHeld(now)
+	return r.actions
+}
+
 // routeHeld routes the held packets once new flows can be placed, at the latest
 // maxHoldTime after the start. Those that cannot be routed then are dropped or reset.
 func (r *Router) routeHeld(now time.Time) {
--- a/internal/coordination/steer/hold_test.go
+++ b/internal/coordination/steer/hold_test.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// Held packets used to wait for the next tick, up to 50 ms after enough agents were known.
+func TestHeldPacketsAreRoutedOnceAgentsAreKnown(t *testing.T) {
+	r := steer.New(self, "a", start)
+	r.ExpectMembers([]flow.Endpoint{endpoint(10), endpoint(11)})
+	r.HandleCallerPacket(start, opening(1))
+	r.Configure(newConfig(1, "svc"))
+	if got := r.RouteHeld(start.Add(time.Millisecond)); len(got) != 0 {
+		t.Fatalf("without agents: got %+v", got)
+	}
+	r.UpdateMembers(start, agents("svc", 10))
+	got := r.RouteHeld(start.Add(2 * time.Millisecond))
+	if diff := cmp.Diff([]steer.Reason{steer.Placed}, reasonsOf(got)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestPacketsAreNotHeldForLong(t *testing.T) {
 	r := steer.New(self, "a", start)
 	r.HandleCallerPacket(start, opening(1))
--- a/internal/transport/ctrl/run.go
+++ b/internal/transport/ctrl/run.go
@@ -30,28 +30,23 @@
 
 // Run runs the periodic tasks of the membership protocol until the context ends.
 func (p *Plane) Run(ctx context.Context) {
-	ticker := time.NewTicker(member.TickInterval)
-	defer ticker.Stop()
-
-	p.tick() // at once, since others wait for a process that starts
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.tick()
-		}
+	for ctx.Err() == nil {
+		sleep(ctx, p.tick()) // the first tick at once, since others wait for a process that starts
 	}
 }
 
-func (p *Plane) tick() {
+// tick runs the tasks that are due and returns the time until the next call.
+func (p *Plane) tick() time.Duration {
+	now := time.Now()
 	p.mu.Lock()
 	p.observeEra()
-	sends := p.node.Tick(time.Now())
+	sends := p.node.Tick(now)
+	delay := p.node.TickDelay(now)
 	p.mu.Unlock()
 
 	p.send(sends)
 	p.signalMemberChanges()
+	return delay
 }
 
 func (p *Plane) send(sends []member.Outgoing) {
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -173,7 +173,9 @@
 		b.revision = cfg.Revision
 		b.router.Configure(cfg)
 	}
-	b.router.UpdateMembers(time.Now(), changed)
+	now := time.Now()
+	b.router.UpdateMembers(now, changed)
+	b.perform(b.router.RouteHeld(now))
 	b.metrics.Members.Set(float64(b.control.MemberCount()))
 }
 
