Open as many flows beyond the slots as arrive during a handshake

Cause: an upstream got a quarter more requests than it has slots, at least one, whatever its requests and its callers take. With 3 slots, requests of 24 ms and handshakes of 8 ms, one flow is on its way on the average, so that slots were often idle while flows were refused.

--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -11,12 +12,6 @@
 )
 
 const (
-	// handshakeDivisor sets how many requests the upstream may have beyond its
-	// slots: slots/handshakeDivisor, at least 1. They keep the slots in use while
-	// callers complete their handshakes, which takes about 8 ms of the 40 to 80 ms
-	// of a request.
-	handshakeDivisor = 4
-
 	// waitDivisor limits the expected wait of a flow to its route's objective divided
 	// by waitDivisor. With a higher limit, callers get late answers under overload
 	// although they could have been refused at once and served in time on their next try.
@@ -42,6 +37,12 @@
 	// new one has the weight 1/serviceTimeSmoothing.
 	serviceTimeSmoothing = 16
 
+	// handshakeSmoothing is the same divisor for the times of handshakes.
+	handshakeSmoothing = 16
+
+	// defaultHandshakeTime is the time of a handshake that is assumed until one was completed.
+	defaultHandshakeTime = 10 * time.Millisecond
+
 	// defaultServiceTime is the service time that is assumed until a request was answered.
 	defaultServiceTime = 50 * time.Millisecond
 
@@ -58,9 +59,20 @@
 	return o.maxRequests()
 }
 
-// maxRequests returns how many requests the upstream may have at a time.
+// maxRequests returns how many requests the upstream may have at a time: one for each
+// slot, and as many as arrive during a handshake, so that no slot is idle until the caller
+// has completed it.
 func (o *Owner) maxRequests() int {
-	return o.slots() + max(1, o.slots()/handshakeDivisor)
+	during := float64(o.slots()) * float64(o.handshakeTime()) / float64(o.serviceTime())
+	return o.slots() + min(max(1, int(math.Ceil(during))), o.slots())
+}
+
+// handshakeTime returns the mean time from an opening packet to the caller's next one.
+func (o *Owner) handshakeTime() time.Duration {
+	if o.meanHandshake == 0 {
+		return defaultHandshakeTime
+	}
+	return o.meanHandshake
 }
 
 // handleFull handles an opening packet for which the upstream has no free slot. It
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -106,7 +106,7 @@
 	e.lastPacketAt = now
 	if !e.open {
 		e.open = true
-		delete(o.handshakes, key)
+		o.recordHandshake(now, key, e)
 	}
 	if p.Ack {
 		e.callerAck = p.Acknowledged
@@ -132,6 +132,16 @@
 	}
 }
 
+// recordHandshake ends the handshake of a flow and updates the mean time of one.
+func (o *Owner) recordHandshake(now time.Time, key flow.Key, e *entry) {
+	if o.handshakes[key] == nil {
+		return
+	}
+	delete(o.handshakes, key)
+	o.meanHandshake += (now.Sub(e.openedAt) - o.handshakeTime()) / handshakeSmoothing
+	o.meanHandshake = max(o.meanHandshake, 1)
+}
+
 // trackUpstreamPacket updates a flow from an upstream's packet that is sent to the caller.
 func (o *Owner) trackUpstreamPacket(now time.Time, key flow.Key, e *entry, p *flow.Packet) {
 	e.lastPacketAt = now
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -87,6 +87,7 @@
 	failedOpenings      int // consecutive opening packets that were unanswered or bounced
 	backlog             queue.Backlog
 	meanServiceTime     time.Duration // moving average of the time from a request to its answer
+	meanHandshake       time.Duration // moving average of the time of a handshake
 	failureRate         failureRate
 	offers              offers
 	mayHoldEarlierFlows bool // the upstream may hold flows from before the agent's start
