Let flows wait in bursts as long as they can be answered in time

Cause: the wait of a flow was limited to a quarter of its route's objective at any load. In a burst to nine tenths of capacity callers were refused three times within 30 ms and gave up, although all could have been answered in time.

Change: the limit of a quarter holds only during lasting overload, that is, when the backlog has not been empty for a second. Before that a flow may wait as long as it can be answered within the objective (CoDel's distinction of a burst from a standing queue, as in Maurer, Fail at Scale). The mean time of handshakes starts at 0 instead of a default that could only be left for a nanosecond.

--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -6,33 +6,11 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
-	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/queue"
 )
 
 const (
-	// waitDivisor limits the expected wait of a flow to its route's objective divided
-	// by waitDivisor. With a higher limit, callers get late answers under overload
-	// although they could have been refused at once and served in time on their next try.
-	waitDivisor = 4
-
-	// recoveryMaxWait limits the expected wait instead for recoveryPeriod after an
-	// agent's start. Callers who come then have waited through an outage; if they
-	// were refused, they would use up their last tries at once, while the surge is
-	// over in two seconds.
-	recoveryMaxWait = 800 * time.Millisecond
-	recoveryPeriod  = 2 * time.Second
-
-	// defaultMaxWait limits the expected wait where a route has no objective.
-	defaultMaxWait = 100 * time.Millisecond
-
-	// callerTimeout is the time after a caller's first opening packet at which a flow
-	// that still waits is refused.
-	callerTimeout = 1200 * time.Millisecond
-
-	maxAttempts = 3
-
 	// serviceTimeSmoothing is the divisor of the moving average of service times: a
 	// new one has the weight 1/serviceTimeSmoothing.
 	serviceTimeSmoothing = 16
@@ -40,9 +18,6 @@
 	// handshakeSmoothing is the same divisor for the times of handshakes.
 	handshakeSmoothing = 16
 
-	// defaultHandshakeTime is the time of a handshake that is assumed until one was completed.
-	defaultHandshakeTime = 10 * time.Millisecond
-
 	// defaultServiceTime is the service time that is assumed until a request was answered.
 	defaultServiceTime = 50 * time.Millisecond
 
@@ -63,18 +38,10 @@
 // slot, and as many as arrive during a handshake, so that no slot is idle until the caller
 // has completed it.
 func (o *Owner) maxRequests() int {
-	during := float64(o.slots()) * float64(o.handshakeTime()) / float64(o.serviceTime())
+	during := float64(o.slots()) * float64(o.meanHandshake) / float64(o.serviceTime())
 	return o.slots() + min(max(1, int(math.Ceil(during))), o.slots())
 }
 
-// handshakeTime returns the mean time from an opening packet to the caller's next one.
-func (o *Owner) handshakeTime() time.Duration {
-	if o.meanHandshake == 0 {
-		return defaultHandshakeTime
-	}
-	return o.meanHandshake
-}
-
 // handleFull handles an opening packet for which the upstream has no free slot. It
 // goes to the next agent; when all have been tried, it goes to the one with the least
 // load and waits there.
@@ -104,6 +71,9 @@
 // enqueue adds a flow to the backlog. If the flow would wait too long, it replaces a
 // waiting flow that can no longer be answered in time; if there is none, it is refused.
 func (o *Owner) enqueue(now time.Time, key flow.Key, e *fwdmsg.Envelope, p *flow.Packet) {
+	if o.backlog.Len() == 0 {
+		o.backlogEmptyAt = now
+	}
 	priority, objective := o.priorityAndObjective(key)
 	if o.expectedWait(priority) > o.maxExpectedWait(now, objective) {
 		evicted, ok := o.backlog.Evict(now, priority)
@@ -116,45 +86,14 @@
 	}
 
 	firstSent := now.Add(-p.SinceFirstSent)
-	openWithin := max(0, objective-2*o.serviceTime())
 	o.backlog.Add(queue.WaitingFlow{
-		Key: key, Priority: priority, FirstSent: firstSent, OpenDeadline: firstSent.Add(openWithin), GiveUpAt: firstSent.Add(o.openTimeout(key)),
+		Key: key, Priority: priority, FirstSent: firstSent, OpenDeadline: firstSent.Add(o.openWithin(objective)), GiveUpAt: firstSent.Add(o.openTimeout(key)),
 		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
 	})
 	o.actions = append(o.actions, Action{Kind: Hold, Reason: Queued, Key: key, Load: o.requests})
 	o.notifyBalancer(now, key, e, false)
 }
 
-func (o *Owner) openTimeout(key flow.Key) time.Duration {
-	route := o.routes[key.Service]
-	if route == nil || route.Timeout == 0 {
-		return callerTimeout
-	}
-	timeout := route.Timeout.Duration()
-	if route.Kind == config.Idempotent {
-		timeout /= maxAttempts
-	}
-	return min(callerTimeout, timeout)
-}
-
-// expectedWait returns how long a new flow of a priority would wait if all were served
-// in order.
-func (o *Owner) expectedWait(priority int) time.Duration {
-	return o.serviceTime() * time.Duration(o.backlog.CountAhead(priority)+1) / time.Duration(o.slots())
-}
-
-// maxExpectedWait returns the limit of the expected wait for a flow with an objective;
-// objective 0 is none.
-func (o *Owner) maxExpectedWait(now time.Time, objective time.Duration) time.Duration {
-	switch {
-	case now.Sub(o.startedAt) < recoveryPeriod:
-		return recoveryMaxWait
-	case objective == 0:
-		return defaultMaxWait
-	}
-	return objective / waitDivisor
-}
-
 // priorityAndObjective returns the priority of a flow's route and the time within which
 // its requests are to be answered; both are 0 if the flow has no route.
 func (o *Owner) priorityAndObjective(key flow.Key) (int, time.Duration) {
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -138,8 +138,7 @@
 		return
 	}
 	delete(o.handshakes, key)
-	o.meanHandshake += (now.Sub(e.openedAt) - o.handshakeTime()) / handshakeSmoothing
-	o.meanHandshake = max(o.meanHandshake, 1)
+	o.meanHandshake += (now.Sub(e.openedAt) - o.meanHandshake) / handshakeSmoothing
 }
 
 // trackUpstreamPacket updates a flow from an upstream's packet that is sent to the caller.
