Open a connection to the upstream for each request

Operators of a similar system told us of a server that sent a second copy of an answer late, on a connection that was in use again. It could happen here: connections for safe requests were reused, and TestASecondCopyOfAnAnswerReachesNoOtherCaller showed three of six callers getting the answer to the request before theirs. HTTP/1.1 has nothing by which answers could be told apart, so that a reused connection cannot be made safe. The upstream is on the same VM, where a connection costs a fraction of a millisecond. Forwarded flows have a connection of their own for each flow, whose two ends check sequence numbers.

--- a/internal/transport/h3agt/upstream.go
+++ b/internal/transport/h3agt/upstream.go
@@ -15,9 +15,7 @@
 )
 
 const (
-	dialTimeout     = time.Second
-	maxIdleConns    = 64
-	idleConnTimeout = 10 * time.Second
+	dialTimeout = time.Second
 
 	// headerTimeout says for how many milliseconds the sender still waits for the answer.
 	headerTimeout = "Request-Timeout-Ms"
@@ -40,10 +38,9 @@
 
 // upstream calls the one upstream of the agent over HTTP/1.1.
 type upstream struct {
-	address  netip.AddrPort
-	pooled   *http.Transport
-	unpooled *http.Transport        // opens a connection for each request
-	instance atomic.Pointer[string] // latest headerInstance; nil before the first
+	address   netip.AddrPort
+	transport *http.Transport
+	instance  atomic.Pointer[string] // latest headerInstance; nil before the first
 }
 
 // attempt is the result of one call to the upstream.
@@ -60,20 +57,13 @@
 	err error
 }
 
+// newUpstream returns an upstream that opens a connection for each request. On a reused
+// one, a second copy of an earlier answer would be taken for the answer to the next
+// request, and net/http sends some requests again when it fails.
 func newUpstream(address netip.AddrPort) *upstream {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: upstreamKeepAlive}
-	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-
-	// A request that must not run twice gets a connection of its own, because
-	// net/http sends some requests again when a reused connection fails.
-	unpooled := pooled.Clone()
-	unpooled.DisableKeepAlives = true
-	return &upstream{address: address, pooled: pooled, unpooled: unpooled}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return &upstream{address: address, transport: transport}
 }
 
 // call sends a request with its remaining time. The context covers the call and
@@ -85,7 +75,7 @@
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 
-	response, err := u.transportFor(r.Method).RoundTrip(u.newRequest(ctx, r, remaining))
+	response, err := u.transport.RoundTrip(u.newRequest(ctx, r, remaining))
 	a.mayHaveReached = connected.Load()
 	if err != nil {
 		a.err = errors.Wrapf(err, "call upstream %s", u.address)
@@ -98,13 +88,6 @@
 	return a
 }
 
-func (u *upstream) transportFor(method string) *http.Transport {
-	if isSafeMethod(method) {
-		return u.pooled
-	}
-	return u.unpooled
-}
-
 // newRequest returns a copy of a caller's request for the upstream.
 func (u *upstream) newRequest(ctx context.Context, r *http.Request, remaining time.Duration) *http.Request {
 	out := r.Clone(ctx)
