Open no flows in the first moment after a pause of the agent

Operators of a similar system told us of a process that had been paused for some seconds and acted on a permission that had run out meanwhile. It could happen here: an agent that was frozen, or whose VM was suspended, read the opening packets that waited in its socket before it learnt that operators had taken its failure domain out or that its upstream drains.

Change: if the last tick is more than 2 s ago, by the monotonic clock or the time of day, the agent passes new flows on for 300 ms, in which it hears from a balancer and its upstream. Other permissions stay as they are: a watcher's lease is needed by nobody's safety, changes of the store are compare-and-swaps, and a balancer's old view is checked by the agent.

--- a/internal/coordination/owner/action.go
+++ b/internal/coordination/owner/action.go
@@ -83,6 +83,7 @@
 	UpstreamGone      Reason = "upstreamGone"
 	TableFull         Reason = "tableFull"
 	Unconfigured      Reason = "unconfigured"
+	Resuming          Reason = "resuming" // the process was paused until a moment ago
 )
 
 // Completion describes a request that ended, as seen from its packets.
--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -114,6 +114,9 @@
 
 // openWaiting opens waiting flows while the upstream has fewer than maxRequests.
 func (o *Owner) openWaiting(now time.Time) {
+	if o.resuming(now) {
+		return
+	}
 	for o.backlog.Len() > 0 && o.requests < o.maxRequests() {
 		if now.Before(o.coldUntil) && (o.cfg.Revision == 0 || !o.ramp.admit(now)) {
 			return
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -201,6 +201,7 @@
 // flows. The actions are valid until the next call.
 func (o *Owner) Tick(now time.Time) []Action {
 	o.actions = o.actions[:0]
+	o.detectPause(now)
 	o.lastTick = now
 	for key, e := range o.handshakes {
 		if now.Sub(e.openedAt) < handshakeTimeout {
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -54,6 +54,9 @@
 	if reason := o.checkEligible(key, e); reason != "" {
 		return reason
 	}
+	if o.resuming(now) {
+		return Resuming
+	}
 	if len(o.flows) >= maxFlows || (o.limits.Connections > 0 && o.connections >= o.limits.Connections) {
 		return TableFull
 	}
@@ -135,7 +138,7 @@
 // its opening packet rather than be reset.
 func (o *Owner) callerShouldRetry(now time.Time, reason Reason) bool {
 	switch reason {
-	case NoUpstream, NoAnswer, UpstreamSilent, WrongService, RouteDropped:
+	case NoUpstream, NoAnswer, UpstreamSilent, WrongService, RouteDropped, Resuming:
 		return true
 	case Overloaded:
 		return false
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -95,6 +95,7 @@
 
 	lastSweep   time.Time
 	lastTick    time.Time
+	resumedAt   time.Time // when the last pause of the process ended
 	actions     []Action
 	completions []Completion
 }
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -11,6 +11,7 @@
 // The actions are valid until the next call.
 func (o *Owner) HandleBalancerPacket(now time.Time, e *fwdmsg.Envelope, p *flow.Packet) []Action {
 	o.actions = o.actions[:0]
+	o.detectPause(now)
 	key := p.KeyFromCaller()
 	if p.IsOpening() {
 		o.handleOpening(now, key, e, p)
