--- a/internal/coordination/model/placing_test.go
+++ b/internal/coordination/model/placing_test.go
@@ -115,11 +115,12 @@
 func TestCallersGetNearlyWhatIsPossible(t *testing.T) {
 	const shareOfPossible = 0.9
 	experiments := map[string]experiment{
-		"calm":                     {load: 0.45},
-		"at capacity":              {load: 1},
-		"balancers out for 0.6 s":  {load: 0.45, balancerOutage: 600 * time.Millisecond},
-		"everything out for 1.6 s": {load: 0.45, outage: 1600 * time.Millisecond},
-		"two agents of seven cut":  {load: 0.45, unreachable: 2},
+		"calm":                      {load: 0.45},
+		"at capacity":               {load: 1},
+		"balancers out for 0.6 s":   {load: 0.45, balancerOutage: 600 * time.Millisecond},
+		"everything out for 1.6 s":  {load: 0.45, outage: 1600 * time.Millisecond},
+		"two agents of seven cut":   {load: 0.45, unreachable: 2},
+		"a burst of twice the load": {load: 0.45, burst: 2, burstDuration: 3 * time.Second},
 	}
 	for name, e := range experiments {
 		for callers, profile := range map[string]profile{"patient": patient, "impatient": impatient} {
@@ -138,6 +139,25 @@
 	}
 }
 
+// TestFewCallersFailInABurst doubles the load to 0.9 of capacity for three seconds. Nobody
+// would have to fail, since all could be served within their deadlines. Callers were refused
+// three times within 30 ms when a wait of twice that would have served them.
+func TestFewCallersFailInABurst(t *testing.T) {
+	const maxFailedShare = 0.005
+	for name, callers := range map[string]profile{"patient": patient, "impatient": impatient} {
+		for _, slots := range []int{2, 3, 8} {
+			t.Run(fmt.Sprintf("%s callers, %d slots", name, slots), func(t *testing.T) {
+				got := newLoadSim(experiment{
+					seed: 1, policy: pick.DefaultPolicy, slots: slots, callers: callers, load: 0.45, burst: 2, burstDuration: 3 * time.Second, duration: 10 * time.Second,
+				}).run()
+				if failed := 1 - got.answeredShare(); failed > maxFailedShare {
+					t.Errorf("%.4f of the requests failed, want at most %.4f: %v", failed, maxFailedShare, got)
+				}
+			})
+		}
+	}
+}
+
 // TestPlacingTable logs what callers get under each policy if PLACING_TABLE is set.
 func TestPlacingTable(t *testing.T) {
 	if os.Getenv("PLACING_TABLE") == "" {
--- a/internal/coordination/owner/admission_test.go
+++ b/internal/coordination/owner/admission_test.go
@@ -1,10 +1,12 @@
 package owner_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -100,6 +102,77 @@
 	}
 }
 
+// An upstream with three slots got one flow more, whatever handshakes and requests took, so
+// that slots were idle while flows were refused.
+func TestOpenFlowsCoverTheHandshakes(t *testing.T) {
+	tests := map[string]struct {
+		handshake, request time.Duration
+		want               int
+	}{
+		"short handshakes":             {handshake: time.Millisecond, request: 100 * time.Millisecond, want: 4},
+		"half as long as a request":    {handshake: 10 * time.Millisecond, request: 20 * time.Millisecond, want: 5},
+		"longer than a request":        {handshake: 50 * time.Millisecond, request: 20 * time.Millisecond, want: 6},
+		"as many as there are at most": {handshake: 50 * time.Millisecond, request: 5 * time.Millisecond, want: 6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start.Add(-time.Minute))
+			o.Configure(start, newConfig(1, nil))
+			o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.Slots = 3 }))
+			now := start
+			for port := uint16(1); port <= 200; port++ {
+				o.HandleBalancerPacket(now, envelope(), opening(port))
+				o.HandleUpstreamPacket(now, openingAnswer(port))
+				now = now.Add(test.handshake)
+				o.HandleBalancerPacket(now, envelope(), requestData(port))
+				now = now.Add(test.request)
+				o.HandleUpstreamPacket(now, responseData(port))
+			}
+
+			opened := 0
+			for port := uint16(1001); port <= 1010; port++ {
+				if kind, _ := firstAction(o.HandleBalancerPacket(now, envelope(), opening(port))); kind == owner.Deliver {
+					opened++
+				}
+			}
+			if opened != test.want {
+				t.Errorf("%d flows were opened, want %d", opened, test.want)
+			}
+		})
+	}
+}
+
+func TestWaitingFlowsEndWithTheirCallers(t *testing.T) {
+	tests := map[string]struct {
+		kind    config.Kind
+		timeout config.Milliseconds
+		want    time.Duration
+	}{
+		"a third of an idempotent request's timeout": {config.Idempotent, 900, 300 * time.Millisecond},
+		"another request's timeout":                  {config.NonIdempotent, 900, 900 * time.Millisecond},
+		"what callers wait at most":                  {config.Download, 8000, 1200 * time.Millisecond},
+		"no timeout":                                 {config.Idempotent, 0, 1200 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newFullOwner(t)
+			o.Configure(start, newConfig(2, func(c *config.Config) { c.Routes[0].Kind, c.Routes[0].Timeout = test.kind, test.timeout }))
+			o.HandleBalancerPacket(start, envelope(), opening(9))
+			if hasReset(o.Tick(start.Add(test.want-time.Millisecond)), 9) {
+				t.Error("the flow was refused too early")
+			}
+			if !hasReset(o.Tick(start.Add(test.want)), 9) {
+				t.Error("the flow was not refused")
+			}
+		})
+	}
+}
+
+// hasReset reports whether the caller at a port is reset.
+func hasReset(actions []owner.Action, port uint16) bool {
+	return slices.ContainsFunc(actions, func(a owner.Action) bool { return a.Kind == owner.Reset && a.Key.Caller.Port == port })
+}
+
 // Callers that had given up during the handshake kept their slots for a second and
 // more, and the service collapsed after a surge.
 func TestTheSlotOfACallerThatGaveUpIsSoonFree(t *testing.T) {
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -66,6 +66,7 @@
 // are valid until the next call.
 func (o *Owner) HandleUpstreamPacket(now time.Time, p *flow.Packet) []Action {
 	o.actions = o.actions[:0]
+	o.detectPause(now)
 	if p.Bounced {
 		o.handleBounce(now, p)
 		return o.actions
--- a/internal/coordination/owner/wait.go
+++ b/internal/coordination/owner/wait.go
@@ -30,11 +30,12 @@
 	// defaultMaxWait limits the expected wait where a route has no objective.
 	defaultMaxWait = 100 * time.Millisecond
 
-	// maxOpenTimeout is the time for which callers wait at most for a flow to open.
+	// maxOpenTimeout is the longest time until a waiting flow is given up. Callers end an
+	// attempt whose flow has not opened after 1.4 s.
 	maxOpenTimeout = 1200 * time.Millisecond
 
-	// idempotentAttempts is the number of attempts among which a caller divides the time
-	// that it has for an idempotent request.
+	// idempotentAttempts is the number of attempts among which callers divide the timeout
+	// of an idempotent request.
 	idempotentAttempts = 3
 )
 
