Let only agents that take flows hurry to be known

Change: an agent that takes no new flows repeats its first heartbeats every 100 ms, as before. One with a living upstream takes flows some milliseconds after its start.

--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -69,14 +69,23 @@
 		return HeartbeatInterval
 	}
 	switch age := now.Sub(n.started); {
-	case age < startPeriod:
+	case age < startPeriod && n.isUseful():
 		return startInterval
+	case age < startPeriod:
+		return TickInterval
 	case age < joinPeriod:
 		return joinInterval
 	}
 	return HeartbeatInterval
 }
 
+// isUseful reports whether others gain from knowing this node at once: it is a balancer, or
+// an agent that takes new flows. An agent beside an upstream that is gone may end within
+// moments, and searches for lost flows then wait for it.
+func (n *Node) isUseful() bool {
+	return n.self.Role == roster.Balancer || n.self.Weight > 0
+}
+
 func (n *Node) heartbeat(to netip.AddrPort) Message {
 	m := n.message(Heartbeat)
 	m.PeersHash = roster.HashMembers(n.peerAgents)
--- a/internal/coordination/member/restart_test.go
+++ b/internal/coordination/member/restart_test.go
@@ -125,32 +125,44 @@
 
 // Agents whose first heartbeat was acknowledged by a balancer without a configuration
 // used to get one a second later, with the next heartbeat, and opened no flows until then.
-func TestAProcessWithoutAConfigurationRepeatsItsHeartbeats(t *testing.T) {
+// Agents that take no flows are in no hurry: one whose VM was removed before a restart came
+// back for some milliseconds, and searches for lost flows waited eight seconds for it.
+func TestWhichProcessesRepeatTheirHeartbeatsAtOnce(t *testing.T) {
 	tests := map[string]struct {
-		revision uint64
-		want     bool
+		acknowledged bool
+		revision     uint64
+		weight       uint8
+		want         bool
 	}{
-		"without a configuration": {revision: 0, want: true},
-		"with a configuration":    {revision: 1, want: false},
+		"not acknowledged":            {weight: roster.MaxWeight, want: true},
+		"without a configuration":     {acknowledged: true, weight: roster.MaxWeight, want: true},
+		"with a configuration":        {acknowledged: true, revision: 1, weight: roster.MaxWeight, want: false},
+		"without flows":               {acknowledged: true, weight: 0, want: false},
+		"without flows, not answered": {weight: 0, want: false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1_800_000_000, 0)
 			home := roster.Member{Address: netip.MustParseAddrPort("10.0.0.1:7100"), Role: roster.Balancer}
-			n := member.New(roster.Member{Address: netip.MustParseAddrPort("10.0.0.2:7100"), Role: roster.Agent, Service: "s"}, rand.New(rand.NewPCG(1, 1)))
+			n := member.New(roster.Member{
+				Address: netip.MustParseAddrPort("10.0.0.2:7100"), Role: roster.Agent, Service: "s", Weight: test.weight,
+			}, rand.New(rand.NewPCG(1, 1)))
 			n.SetSeeds([]netip.AddrPort{home.Address})
 			n.SetRevision(test.revision, 0)
 			if sends := n.Tick(now); len(sends) != 1 {
 				t.Fatalf("%d messages at the start, want 1", len(sends))
 			}
-			n.Handle(now, member.Message{Kind: member.Ack, From: home, Homes: []netip.AddrPort{home.Address}})
+			if test.acknowledged {
+				n.Handle(now, member.Message{Kind: member.Ack, From: home, Homes: []netip.AddrPort{home.Address}})
+			}
+			n.SetSeeds([]netip.AddrPort{home.Address})
 
 			repeated := false
-			for end := now.Add(100 * time.Millisecond); now.Before(end); now = now.Add(n.TickDelay(now)) {
+			for end := now.Add(90 * time.Millisecond); now.Before(end); now = now.Add(n.TickDelay(now)) {
 				repeated = repeated || len(n.Tick(now)) > 0
 			}
 			if repeated != test.want {
-				t.Errorf("repeated within 100 ms: %v, want %v", repeated, test.want)
+				t.Errorf("repeated within 90 ms: %v, want %v", repeated, test.want)
 			}
 		})
 	}
--- a/internal/coordination/member/self.go
+++ b/internal/coordination/member/self.go
@@ -9,10 +9,10 @@
 )
 
 // SetSeeds sets the balancers to which the node also sends its heartbeats when it
-// has no home or none answers. A node that was not acknowledged yet sends one at the next
-// tick.
+// has no home or none answers. A useful node that was not acknowledged yet sends one at the
+// next tick.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) {
-	if n.lastAck.IsZero() {
+	if n.lastAck.IsZero() && n.isUseful() {
 		n.lastHeartbeat = time.Time{}
 	}
 	n.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == n.self.Address })
