Repair all records of a balancer that joins a fleet of more than 300

In its first second it had learnt 316 records, all of 10.1 to 10.4, a part of 10.5 and none of 10.6: a reply to a digest holds 300 records, in the order of addresses. While records change in all of the 32 buckets, as they do during rolling restarts, every reply left out the same ones.

Change: records beyond 300 are chosen at random, so that a few replies hold them all. TestABalancerThatJoinsALargeFleetLearnsAllMembers had 308 of 520 members after 3 s before.

--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -262,6 +262,10 @@
 		return nil
 	}
 
+	if len(missing) > maxRepairMessages*maxRecords {
+		// While records change in all buckets, each reply would leave out the same ones.
+		n.random.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+	}
 	var sends []Outgoing
 	for len(missing) > 0 && len(sends) < maxRepairMessages {
 		count := min(len(missing), maxRecords)
--- a/internal/coordination/member/restart_test.go
+++ b/internal/coordination/member/restart_test.go
@@ -123,6 +123,28 @@
 	}
 }
 
+// A balancer that restarts in a large fleet gets the records that it lacks in replies to its
+// digests, of 300 records at most. While others change all the time, each reply left out the
+// same ones, those with the highest addresses: on the simulated deployment higi-sul-large a
+// balancer took its list as complete after 10 s without them and reset open flows.
+func TestABalancerThatJoinsALargeFleetLearnsAllMembers(t *testing.T) {
+	const within = 3 * time.Second
+	f := newFleet(t, 1, 20, 500)
+	f.run(20 * time.Second)
+	joining := f.nodes[7]
+	f.startWithoutWeight(joining)
+	changing := f.nodes[20:120]
+	for weight := uint8(1); f.now.Sub(time.Unix(1_800_000_000, 0)) < 20*time.Second+within; weight++ {
+		for _, h := range changing {
+			h.node.SetWeight(weight)
+		}
+		f.run(member.TickInterval)
+	}
+	if known := joining.node.Roster().Len(); known != len(f.nodes) {
+		t.Errorf("%d of %d members are known after %v", known, len(f.nodes), within)
+	}
+}
+
 // Agents whose first heartbeat was acknowledged by a balancer without a configuration
 // used to get one a second later, with the next heartbeat, and opened no flows until then.
 // Agents that take no flows are in no hurry: one whose VM was removed before a restart came
