--- a/internal/coordination/member/restart_test.go
+++ b/internal/coordination/member/restart_test.go
@@ -147,8 +147,9 @@
 
 // Agents whose first heartbeat was acknowledged by a balancer without a configuration
 // used to get one a second later, with the next heartbeat, and opened no flows until then.
-// Agents that take no flows are in no hurry: one whose VM was removed before a restart came
-// back for some milliseconds, and searches for lost flows waited eight seconds for it.
+// Agents that take no flows keep the longer interval: one whose VM was removed before a
+// restart came back for some milliseconds, and searches for lost flows waited for it until
+// it was dead.
 func TestWhichProcessesRepeatTheirHeartbeatsAtOnce(t *testing.T) {
 	tests := map[string]struct {
 		acknowledged bool
--- a/internal/coordination/model/placing_test.go
+++ b/internal/coordination/model/placing_test.go
@@ -139,8 +139,8 @@
 	}
 }
 
-// TestFewCallersFailInABurst doubles the load to 0.9 of capacity for three seconds. Nobody
-// would have to fail, since all could be served within their deadlines. Callers were refused
+// TestFewCallersFailInABurst doubles the load to 0.9 of capacity for three seconds. All
+// requests could be served within their deadlines. Callers were refused
 // three times within 30 ms when a wait of twice that would have served them.
 func TestFewCallersFailInABurst(t *testing.T) {
 	const maxFailedShare = 0.005
