Setting for the rate of a VM's link

Change: linkMbps in the settings, filled in from the platform's limits and passed to balancers. Nothing depends on it yet.

--- a/cmd/coriandershift-forward/cmd_balancer.go
+++ b/cmd/coriandershift-forward/cmd_balancer.go
@@ -47,7 +47,7 @@
 
 	balancer, err := fwbal.Listen(fwbal.Options{
 		Log: d.log, Metrics: d.metrics, Control: d.control, PacketCodec: platform.PacketCodec{}, Keys: d.settings.Keys(),
-		CallerAddress: d.settings.Balancer.Callers,
+		LinkRate: d.settings.LinkRate(), CallerAddress: d.settings.Balancer.Callers,
 	})
 	if err != nil {
 		return err
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -75,6 +75,9 @@
 	started time.Time
 	policy  pick.Policy
 
+	// linkRate is the rate of this balancer's link in bytes per second, 0 if not known.
+	linkRate int
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
@@ -163,6 +166,12 @@
 	}
 }
 
+// WithLinkRate sets the rate of the balancer's link in bytes per second, in each
+// direction; 0, the default, means that it is not known.
+func WithLinkRate(rate int) Option {
+	return func(r *Router) { r.linkRate = rate }
+}
+
 // Configure applies a newer configuration. The Router keeps cfg.
 func (r *Router) Configure(cfg *config.Config) {
 	if cfg.IdleTimeout > 0 {
--- a/internal/state/setup/forward.go
+++ b/internal/state/setup/forward.go
@@ -39,6 +39,10 @@
 	// the port of Address.
 	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 
+	// LinkMbps is the rate of the VM's network link in megabits per second, in each
+	// direction. What depends on the rate is off if it is 0.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
+
 	// ClusterKey, 64 hexadecimal digits, is shared by the system's processes.
 	ClusterKey string `json:"clusterKey"`
 
@@ -132,6 +136,12 @@
 	return keyset.Set{ClusterKey: key}
 }
 
+// LinkRate returns the rate of the VM's link in bytes per second, 0 if it is not known.
+func (f *Forward) LinkRate() int {
+	const bytesPerMegabit = 1_000_000 / 8
+	return int(f.LinkMbps * bytesPerMegabit)
+}
+
 func (f *Forward) fillDefaults() {
 	if !f.Listen.IsValid() {
 		f.Listen = f.Address
@@ -155,6 +165,7 @@
 	doc.requireIPv4("listen", f.Listen)
 	doc.require("metrics", f.Metrics.IsValid(), "must be an IP address and port")
 	doc.requireIPv4("store", f.Store)
+	doc.require("linkMbps", f.LinkMbps >= 0, "must not be negative")
 	key, err := hex.DecodeString(f.ClusterKey)
 	doc.require("clusterKey", err == nil && len(key) == keyset.KeyLength, "must be 64 hexadecimal digits")
 
--- a/internal/state/setup/forward_test.go
+++ b/internal/state/setup/forward_test.go
@@ -39,6 +39,16 @@
 	}
 }
 
+func TestLinkRateIsInBytesPerSecond(t *testing.T) {
+	f, err := setup.ParseForward("a.hujson", []byte(strings.Replace(validForward, `"name"`, `"linkMbps": 10, "name"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := f.LinkRate(); got != 1_250_000 {
+		t.Errorf("got %d bytes per second", got)
+	}
+}
+
 func TestParseForwardErrorNamesFileLineAndField(t *testing.T) {
 	tests := map[string]struct {
 		old, new string
@@ -54,6 +64,7 @@
 		"address used twice": {"127.0.30.1:8162", "127.0.30.1:7720", []string{"agent.outbound: must differ from address"}},
 		"negative duration":  {`"service"`, `"drain": "-1s", "service"`, []string{"agent.drain: must not be negative"}},
 		"no unit":            {`"service"`, `"drain": 5, "service"`, []string{"agent.drain", "needs a unit"}},
+		"negative rate":      {`"name"`, `"linkMbps": -1, "name"`, []string{"linkMbps: must not be negative"}},
 		"neither role":       {`"agent"`, `"agnet"`, []string{"agnet: unknown field", "exactly one of balancer and agent"}},
 		"unknown level":      {`"name"`, `"logLevel": "loud", "name"`, []string{"logLevel: must be"}},
 		"empty":              {validForward, "", []string{"a.hujson"}},
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -60,6 +60,9 @@
 	PacketCodec coriandershift.PacketCodec
 	Keys        keyset.Set
 
+	// LinkRate is the rate of the VM's link in bytes per second, 0 if it is not known.
+	LinkRate int
+
 	// CallerAddress is the address to which the fabric delivers callers' packets. Its port
 	// is also the one on which callers receive packets.
 	CallerAddress netip.AddrPort
@@ -80,7 +83,7 @@
 		packets:    o.PacketCodec,
 		codec:      fwdmsg.New(o.Keys),
 		callerConn: conn,
-		router:     steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now()),
+		router:     steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now(), steer.WithLinkRate(o.LinkRate)),
 		buffer:     make([]byte, 0, ctrl.MaxDatagram),
 	}, nil
 }
