A budget for a balancer's own messages, and late notices put down to a full link

Searches wait for the budget, are asked about together, and ask again after growing delays. While the link is half used and most agents of several domains are late, no agent is suspected, no copy is sent, and timeouts follow the measured delay of notices.

Found by the test: flows placed with an agent that never reported, or whose reports were lost, counted for good, so that it was avoided while others existed (load=10.25 in the log). They expire with reports, after a second.

--- a/internal/coordination/pick/pick.go
+++ b/internal/coordination/pick/pick.go
@@ -95,7 +95,8 @@
 // of an agent that has not reported.
 type Load struct {
 	requests, slots   float64
-	placed            float64 // flows placed since the report
+	placed            float64   // flows placed since the report
+	placedAt          time.Time // when the last of them was placed
 	meanDuration      time.Duration
 	unansweredPercent int
 	reportedAt        time.Time
@@ -107,8 +108,18 @@
 }
 
 // CountPlaced counts a flow placed with the agent since its report.
-func (l *Load) CountPlaced() {
-	l.placed++
+func (l *Load) CountPlaced(now time.Time) {
+	l.placed = l.recentlyPlaced(now) + 1
+	l.placedAt = now
+}
+
+// recentlyPlaced returns the flows placed since the report, 0 if the last of them is
+// older than reportTTL: an agent whose reports were lost is not avoided for good.
+func (l *Load) recentlyPlaced(now time.Time) float64 {
+	if now.Sub(l.placedAt) > reportTTL {
+		return 0
+	}
+	return l.placed
 }
 
 // ReportAge returns how old the report is, 0 if there is none.
@@ -123,13 +134,14 @@
 // unless the report is older than reportTTL, and the flows placed since. It counts
 // one slot if the agent has not reported.
 func (l *Load) RequestsPerSlot(now time.Time) float64 {
+	placed := l.recentlyPlaced(now)
 	if l.slots == 0 {
-		return l.placed
+		return placed
 	}
 	if now.Sub(l.reportedAt) > reportTTL {
-		return l.placed / l.slots
+		return placed / l.slots
 	}
-	return (l.requests + l.placed) / l.slots
+	return (l.requests + placed) / l.slots
 }
 
 // full reports whether a recent report shows no free slot.
--- a/internal/coordination/pick/pick_test.go
+++ b/internal/coordination/pick/pick_test.go
@@ -122,9 +122,30 @@
 
 func TestFlowsPlacedSinceTheReportCount(t *testing.T) {
 	l := load(2, 4, typical, 0)
-	l.CountPlaced()
-	l.CountPlaced()
+	l.CountPlaced(now)
+	l.CountPlaced(now)
 	if got := l.RequestsPerSlot(now); got != 1 {
 		t.Errorf("got %v requests per slot, want 1", got)
 	}
 }
+
+// The load is a link that lost the reports of some agents for a moment.
+func TestAnAgentWhoseReportsWereLostIsNotAvoidedForGood(t *testing.T) {
+	tests := map[string]struct{ load *pick.Load }{
+		"it never reported":       {&pick.Load{}},
+		"it reported before that": {load(1, 5, typical, 3*time.Second)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for range 50 {
+				test.load.CountPlaced(now)
+			}
+			if got := test.load.RequestsPerSlot(now.Add(500 * time.Millisecond)); got < 10 {
+				t.Errorf("after half a second: %v requests per slot, want at least 10", got)
+			}
+			if got := test.load.RequestsPerSlot(now.Add(2 * time.Second)); got != 0 {
+				t.Errorf("after two seconds: %v requests per slot, want 0", got)
+			}
+		})
+	}
+}
--- a/internal/coordination/steer/ask.go
+++ b/internal/coordination/steer/ask.go
@@ -34,6 +34,7 @@
 		s := r.searches[key]
 		s.enter(stateQueried, now)
 		s.query, s.uncertain, s.retry = q, nil, false
+		s.queryCount++
 		questions = append(questions, fwdmsg.Question{Key: key, Acknowledged: s.acknowledged})
 	}
 	q.payload = fwdmsg.AppendQuestions(nil, questions)
@@ -83,10 +84,10 @@
 
 // resendQuestions repeats a query to the agents that have not replied: with hundreds of
 // agents, one datagram in a thousand lost would leave a third of the queries incomplete.
-func (r *Router) resendQuestions(id uint16, q *query) {
+func (r *Router) resendQuestions(now time.Time, id uint16, q *query) {
 	q.resent = true
 	for agent, asked := range q.asked {
-		if asked.pending {
+		if asked.pending && r.budget.take(now, questionCost(1, len(q.keys))) {
 			r.sendQuestions(id, q, agent)
 		}
 	}
--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -12,6 +12,7 @@
 // valid until the next call of a method that returns actions.
 func (r *Router) HandleCallerPacket(now time.Time, p *flow.Packet) []Action {
 	r.actions = r.actions[:0]
+	r.use.countIn(now, datagramHeaders+len(p.Raw))
 	key := p.KeyFromCaller()
 	if r.canPlaceFlows() || !r.hold(now, key, p) {
 		r.routeCallerPacket(now, key, p)
@@ -72,5 +73,6 @@
 
 func (r *Router) send(a Action) {
 	a.Kind = Send
+	r.use.out += messageLength + a.Envelope.RankCount*fwdmsg.EndpointLength + len(a.Packet)
 	r.actions = append(r.actions, a)
 }
--- /dev/null
+++ b/internal/coordination/steer/lateness.go
@@ -0,0 +1,102 @@
+package steer
+
+import "time"
+
+const (
+	// usageWindow is the period over which the use of the link is measured.
+	usageWindow = 250 * time.Millisecond
+
+	// busyShare is the share of the link's rate from which late notices may be due to
+	// the link. The packets of all flows together with the membership's fill it.
+	busyShare = 0.5
+
+	// latenessWindow is the time for which a missed or received notice counts.
+	latenessWindow = time.Second
+
+	// minLateAgents is the least number of late agents, and minLateDomains that of
+	// their failure domains, from which the link and not the agents counts as slow.
+	minLateAgents  = 3
+	minLateDomains = 2
+
+	// latenessInterval is the time for which a result of linkSlow is kept.
+	latenessInterval = 20 * time.Millisecond
+)
+
+// linkUse measures the bytes of flows on the balancer's link.
+type linkUse struct {
+	windowStart time.Time
+	in, out     int // bytes since windowStart
+	last        int // bytes of the busier direction in the window before
+}
+
+func (u *linkUse) countIn(now time.Time, bytes int) {
+	u.advance(now)
+	u.in += bytes
+}
+
+func (u *linkUse) advance(now time.Time) {
+	elapsed := now.Sub(u.windowStart)
+	if elapsed < usageWindow {
+		return
+	}
+	u.last = 0
+	if elapsed < 2*usageWindow {
+		u.last = max(u.in, u.out)
+	}
+	u.in, u.out, u.windowStart = 0, 0, now
+}
+
+// share returns the use of the busier direction as a share of the link's rate.
+func (u *linkUse) share(now time.Time, linkRate int) float64 {
+	u.advance(now)
+	return float64(max(u.last, u.in, u.out)) / (float64(linkRate) * usageWindow.Seconds())
+}
+
+// linkSlow reports whether notices are late because this balancer's link is full. The
+// link must be busy, and more agents, of several failure domains, must have missed a
+// notice lately than have sent one in time. While it is slow, agents are not suspected,
+// no copies of opening packets go to other agents, and searches take more time.
+func (r *Router) linkSlow(now time.Time) bool {
+	if r.linkRate == 0 {
+		return false
+	}
+	if now.Sub(r.latenessCheckedAt) < latenessInterval {
+		return r.late
+	}
+	r.latenessCheckedAt = now
+	r.late = r.use.share(now, r.linkRate) >= busyShare && r.mostAgentsLate(now)
+	return r.late
+}
+
+func (r *Router) mostAgentsLate(now time.Time) bool {
+	late, inTime := 0, 0
+	domains := map[string]bool{}
+	for _, a := range r.agents {
+		switch {
+		case now.Sub(a.missedNoticeAt) < latenessWindow:
+			late++
+			domains[a.member.Domain] = true
+		case now.Sub(a.noticeInTimeAt) < latenessWindow:
+			inTime++
+		}
+	}
+	return late >= minLateAgents && late > inTime && len(domains) >= minLateDomains
+}
+
+// replyTimeout extends a timeout for replies while they are known to take longer.
+func (r *Router) replyTimeout(timeout time.Duration) time.Duration {
+	if r.linkRate == 0 {
+		return timeout
+	}
+	return max(timeout, min(replyDelayFactor*r.noticeDelay, maxReplyTimeout))
+}
+
+const (
+	// replyDelayFactor is the ratio of the time that agents have for replies to the
+	// average delay of notices.
+	replyDelayFactor = 3
+
+	// maxReplyTimeout is the longest time for replies on a slow link. Callers repeat
+	// data after 1.6 s at the latest.
+	maxReplyTimeout = 1500 * time.Millisecond
+)
--- a/internal/coordination/steer/member.go
+++ b/internal/coordination/steer/member.go
@@ -25,6 +25,9 @@
 	deadSince     time.Time // zero unless the agent is dead
 	missedNotices int       // consecutive opening packets without a notice
 	suspectUntil  time.Time // other agents are preferred until then
+
+	missedNoticeAt time.Time // when the timeout of an opening packet last passed
+	noticeInTimeAt time.Time // when a notice last came within the timeout
 }
 
 // service holds the agents of one service.
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -12,6 +12,7 @@
 // call of a method that returns actions.
 func (r *Router) HandleAgentMessage(now time.Time, e *fwdmsg.Envelope, payload []byte, parse func([]byte) (flow.Packet, error)) []Action {
 	r.actions = r.actions[:0]
+	r.use.countIn(now, messageLength+len(payload))
 	switch e.Kind {
 	case fwdmsg.Notice:
 		r.handleNotice(now, e, flow.DecodeKey(payload))
@@ -31,11 +32,13 @@
 // handleNotice caches the agent that has the flow and ends searches for the flow. A
 // flow that the agent refused is removed from the cache.
 func (r *Router) handleNotice(now time.Time, e *fwdmsg.Envelope, key flow.Key) {
+	pending := r.pendingOpens[key]
 	if a := r.agents[e.Agent]; a != nil {
 		a.recordLoad(now, e)
+		if pending != nil && pending.agent == e.Agent && !pending.late {
+			a.noticeInTimeAt = now
+		}
 	}
-
-	pending := r.pendingOpens[key]
 	delete(r.pendingOpens, key)
 	delete(r.searches, key)
 	if e.Refused {
@@ -53,7 +56,7 @@
 	}
 	if pending != nil {
 		known.sawOpening = true
-		r.noticeDelay += (now.Sub(pending.sentAt) - r.noticeDelay) / noticeDelayWeight
+		r.noticeDelay += (now.Sub(pending.placedAt) - r.noticeDelay) / noticeDelayWeight
 	}
 	known.agent = e.Agent
 	known.lastActive = now
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -22,6 +22,9 @@
 	suspectPeriod       = time.Second
 	maxSuspectDoublings = 2
 
+	// callerOpenTimeout is the time after which callers give up a flow that is not open.
+	callerOpenTimeout = 1400 * time.Millisecond
+
 	// maxRanked is the number of highest ranked agents among which those that are not
 	// suspected are chosen from.
 	maxRanked = 4 * pick.MaxChoices
@@ -129,19 +132,38 @@
 	if len(r.flows) < maxFlows && len(r.pendingOpens) < maxPendingOpens {
 		r.flows[key] = &flowEntry{agent: first.endpoint, lastActive: now, openingSequence: p.Sequence, sawOpening: true}
 		r.recordOpenSent(now)
-		r.pendingOpens[key] = &pendingOpen{sentAt: now, packet: slices.Clone(p.Raw), envelope: envelope, agent: first.endpoint}
+		r.pendingOpens[key] = &pendingOpen{sentAt: now, placedAt: now, packet: slices.Clone(p.Raw), envelope: envelope, agent: first.endpoint}
 	}
-	first.load.CountPlaced()
+	first.load.CountPlaced(now)
 	r.send(Action{Reason: reason, Key: key, To: first.endpoint, Envelope: envelope, Packet: p.Raw, Load: load, LoadAge: age})
 }
 
-// tryNextAgent sends a timed-out opening packet to the next ranked agent, or gives
-// it up if none is left.
-func (r *Router) tryNextAgent(now time.Time, key flow.Key, o *pendingOpen) {
-	if a := r.agents[o.agent]; a != nil {
+// handleSilence handles an opening packet for which its agent sent no notice in time.
+// It goes to the next agent unless the link is the likely cause: then the agent has the
+// flow, and a copy would open it a second time. The caller repeats the packet if it is lost.
+func (r *Router) handleSilence(now time.Time, key flow.Key, o *pendingOpen) {
+	o.late = true
+	a := r.agents[o.agent]
+	if a != nil {
+		a.missedNoticeAt = now
+	}
+	if r.linkSlow(now) && now.Sub(o.placedAt) < callerOpenTimeout {
+		o.sentAt = now
+		return
+	}
+	if a != nil {
 		a.recordMissedNotice(now)
 	}
+	r.tryNextAgent(now, key, o)
+}
 
+// tryNextAgent sends a timed-out opening packet to the next ranked agent, or gives
+// it up if none is left. Without budget for a copy it waits for another timeout.
+func (r *Router) tryNextAgent(now time.Time, key flow.Key, o *pendingOpen) {
+	if o.envelope.RankCount > 0 && !r.budget.take(now, 2*messageLength+len(o.packet)) {
+		o.sentAt = now
+		return
+	}
 	next, ok := o.envelope.PopRank()
 	if !ok {
 		delete(r.pendingOpens, key)
@@ -149,13 +171,13 @@
 		return
 	}
 	o.envelope.MaybeDuplicate = true
-	o.agent, o.sentAt = next, now
+	o.agent, o.sentAt, o.placedAt, o.late = next, now, now, false
 	r.recordOpenSent(now)
 	if known := r.flows[key]; known != nil {
 		known.agent = next
 	}
 	if a := r.agents[next]; a != nil {
-		a.load.CountPlaced()
+		a.load.CountPlaced(now)
 	}
 	r.send(Action{Reason: PlacedNextAfterSilence, Key: key, To: next, Envelope: o.envelope, Packet: o.packet})
 }
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
+	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -28,24 +29,24 @@
 func (r *Router) advanceSearches(now time.Time) {
 	for id, q := range r.queries {
 		switch age := now.Sub(q.askedAt); {
-		case age >= emptyAgentTimeout && r.onlyEmptyAgentsPending(q):
+		case age >= r.replyTimeout(emptyAgentTimeout) && r.onlyEmptyAgentsPending(q):
 			r.finishQuery(now, id, q)
-		case age >= queryTimeout:
+		case age >= r.replyTimeout(queryTimeout):
 			delete(r.queries, id)
 			r.expireQuery(now, q)
-		case age >= resendDelay && !q.resent:
-			r.resendQuestions(id, q)
+		case age >= r.replyTimeout(resendDelay) && !q.resent:
+			r.resendQuestions(now, id, q)
 		}
 	}
 
 	due := map[flow.Endpoint][]flow.Key{}
 	for key, s := range r.searches {
 		switch {
-		case s.state == stateChain && now.Sub(s.enteredAt) >= chainTimeout:
+		case s.state == stateChain && now.Sub(s.enteredAt) >= r.replyTimeout(chainTimeout):
 			s.enter(stateQueued, now)
-		case s.state == stateOffered && now.Sub(s.enteredAt) >= queryTimeout:
+		case s.state == stateOffered && now.Sub(s.enteredAt) >= r.replyTimeout(queryTimeout):
 			r.endInconclusive(now, key, s, NotFoundAgentUncertain)
-		case s.shouldRetry(now):
+		case s.shouldRetry(now, r.retryDelay(key, s)):
 			s.enter(stateQueued, now)
 		}
 		if s.state == stateQueued {
@@ -53,11 +54,30 @@
 		}
 	}
 	for address, keys := range due {
-		route := r.routes[address]
-		for route != nil && len(keys) > 0 {
-			count := min(len(keys), fwdmsg.MaxQuestions)
-			r.sendQuery(now, route, keys[:count])
-			keys = keys[count:]
+		if route := r.routes[address]; route != nil {
+			r.askAbout(now, route, keys)
+		}
+	}
+}
+
+// askAbout sends queries about the flows in keys, the longest waiting first, as far as
+// the budget permits. The others stay queued while their callers may repeat packets.
+func (r *Router) askAbout(now time.Time, route *config.Route, keys []flow.Key) {
+	slices.SortFunc(keys, func(a, b flow.Key) int {
+		return r.searches[a].enteredAt.Compare(r.searches[b].enteredAt)
+	})
+	for len(keys) > 0 {
+		live, dead := r.possibleHolders(now, route, keys[0].Hash())
+		count := min(len(keys), fwdmsg.MaxQuestions)
+		if !r.budget.take(now, questionCost(len(live)+len(dead), count)) {
+			break
+		}
+		r.sendQuery(now, route, keys[:count])
+		keys = keys[count:]
+	}
+	for _, key := range keys {
+		if s := r.searches[key]; now.Sub(s.packetAt) >= retryPeriod {
+			r.endInconclusive(now, key, s, NotFoundAgentUncertain)
 		}
 	}
 }
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -83,6 +83,9 @@
 	// query is the last query about the flow. Replies to an earlier one are ignored.
 	query *query
 
+	// queryCount is the number of queries about the flow.
+	queryCount int
+
 	// uncertain are the agents that cannot tell whether they have the flow, and
 	// unansweredPlaceholder if some did not answer.
 	uncertain []flow.Endpoint
@@ -124,13 +127,14 @@
 	s.state, s.enteredAt = next, now
 }
 
-// shouldRetry reports whether a search that ended without a result should ask again now.
-func (s *search) shouldRetry(now time.Time) bool {
+// shouldRetry reports whether a search that ended without a result should ask again
+// now, a delay after its end.
+func (s *search) shouldRetry(now time.Time, delay time.Duration) bool {
 	if s.state != stateEnded || !s.retry {
 		return false
 	}
 	s.retry = now.Sub(s.packetAt) < retryPeriod
-	return s.retry && now.Sub(s.enteredAt) >= retryDelay
+	return s.retry && now.Sub(s.enteredAt) >= delay
 }
 
 // sendAlongChain sends a packet along the highest ranked agents of its flow: each
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -62,7 +62,9 @@
 
 // pendingOpen is an opening packet for which no agent has sent a notice yet.
 type pendingOpen struct {
-	sentAt   time.Time
+	sentAt   time.Time // to agent; moved on when a timeout is extended
+	placedAt time.Time // when it was first sent to agent
+	late     bool      // agent has missed the timeout
 	packet   []byte
 	envelope fwdmsg.Envelope
 	agent    flow.Endpoint
@@ -77,6 +79,12 @@
 
 	// linkRate is the rate of this balancer's link in bytes per second, 0 if not known.
 	linkRate int
+	use      linkUse
+	budget   budget
+
+	// late is the result of linkSlow at latenessCheckedAt.
+	late              bool
+	latenessCheckedAt time.Time
 
 	cfg         *config.Config
 	idleTimeout time.Duration
@@ -169,7 +177,10 @@
 // WithLinkRate sets the rate of the balancer's link in bytes per second, in each
 // direction; 0, the default, means that it is not known.
 func WithLinkRate(rate int) Option {
-	return func(r *Router) { r.linkRate = rate }
+	return func(r *Router) {
+		r.linkRate = rate
+		r.budget = newBudget(rate)
+	}
 }
 
 // Configure applies a newer configuration. The Router keeps cfg.
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -51,7 +51,7 @@
 		if delay > 0 {
 			o.sentAt = o.sentAt.Add(delay)
 		} else if now.Sub(o.sentAt) >= r.openTimeout() {
-			r.tryNextAgent(now, key, o)
+			r.handleSilence(now, key, o)
 		}
 		if r.oldestOpen.IsZero() || o.sentAt.Before(r.oldestOpen) {
 			r.oldestOpen = o.sentAt
--- a/internal/protocol/fwdmsg/fwdmsg.go
+++ b/internal/protocol/fwdmsg/fwdmsg.go
@@ -53,9 +53,13 @@
 const MaxRanks = 11
 
 const (
-	fixedLength    = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 6 + 2 + 2 + 2 + 2 + 2 + 1
-	endpointLength = 6
-	tagLength      = 8
+	fixedLength = 1 + 1 + 1 + 1 + 8 + 4 + 6 + 6 + 6 + 2 + 2 + 2 + 2 + 2 + 1
+	tagLength   = 8
+
+	// HeaderLength is the length in bytes of an encoded Envelope without ranks, and
+	// EndpointLength that of each rank.
+	HeaderLength   = fixedLength + tagLength
+	EndpointLength = 6
 
 	flagWantNotice     = 1
 	flagRefused        = 2
@@ -189,7 +193,7 @@
 		return Envelope{}, nil, ErrTooManyRanks
 	}
 
-	end := fixedLength + e.RankCount*endpointLength
+	end := fixedLength + e.RankCount*EndpointLength
 	if len(datagram) < end+tagLength {
 		return Envelope{}, nil, ErrTruncated
 	}
@@ -223,7 +227,7 @@
 	e.MeanDuration = binary.BigEndian.Uint16(datagram[42:])
 	e.UnansweredPercent = datagram[44]
 	for i := range e.RankCount {
-		e.Ranks[i] = endpointAt(datagram[fixedLength+i*endpointLength:])
+		e.Ranks[i] = endpointAt(datagram[fixedLength+i*EndpointLength:])
 	}
 }
 
--- a/internal/protocol/fwdmsg/query.go
+++ b/internal/protocol/fwdmsg/query.go
@@ -9,7 +9,12 @@
 // MaxQuestions is the largest number of flows in a Query, so that it fits a packet.
 const MaxQuestions = 64
 
-const questionLength = flow.KeyLength + 4
+// QuestionLength is the length in bytes of an encoded Question, and StatusLength that of
+// its HeldStatus in the reply.
+const (
+	QuestionLength = flow.KeyLength + 4
+	StatusLength   = 1
+)
 
 // Question is one flow of a Query.
 type Question struct {
@@ -44,13 +49,13 @@
 // ParseQuestions decodes the payload of a Query. It returns ErrTruncated if the length is
 // not that of at most MaxQuestions questions.
 func ParseQuestions(payload []byte) ([]Question, error) {
-	count := len(payload) / questionLength
-	if count*questionLength != len(payload) || count > MaxQuestions {
+	count := len(payload) / QuestionLength
+	if count*QuestionLength != len(payload) || count > MaxQuestions {
 		return nil, ErrTruncated
 	}
 	questions := make([]Question, count)
 	for i := range questions {
-		encoded := payload[i*questionLength:]
+		encoded := payload[i*QuestionLength:]
 		questions[i] = Question{Key: flow.DecodeKey(encoded), Acknowledged: binary.BigEndian.Uint32(encoded[flow.KeyLength:])}
 	}
 	return questions, nil
