Fit queries to a narrow link's queue, and repeat them whatever the budget

Change: a query takes 25 ms of the link at most, one each tick; repeats are deducted from the budget but always sent.

--- a/internal/coordination/steer/ask.go
+++ b/internal/coordination/steer/ask.go
@@ -87,7 +87,8 @@
 func (r *Router) resendQuestions(now time.Time, id uint16, q *query) {
 	q.resent = true
 	for agent, asked := range q.asked {
-		if asked.pending && r.budget.take(now, questionCost(1, len(q.keys))) {
+		if asked.pending {
+			r.budget.charge(now, questionCost(1, len(q.keys)))
 			r.sendQuestions(id, q, agent)
 		}
 	}
--- a/internal/coordination/steer/budget.go
+++ b/internal/coordination/steer/budget.go
@@ -17,6 +17,10 @@
 	// budgetBurst is the time whose share may be used at once after a calm period.
 	budgetBurst = time.Second
 
+	// maxQueryTime is the time that the questions of one query may take on the link. A
+	// longer run of datagrams may overflow the queue at the link.
+	maxQueryTime = 25 * time.Millisecond
+
 	// datagramHeaders is the length of the headers of IP and UDP in bytes.
 	datagramHeaders = 28
 
@@ -51,10 +55,18 @@
 	if b.limiter.TokensAt(now) <= 0 {
 		return false
 	}
+	b.charge(now, bytes)
+	return true
+}
+
+// charge deducts the bytes of messages that are sent in any case.
+func (b budget) charge(now time.Time, bytes int) {
+	if b.limiter == nil {
+		return
+	}
 	for ; bytes > 0; bytes -= b.limiter.Burst() {
 		b.limiter.ReserveN(now, min(bytes, b.limiter.Burst()))
 	}
-	return true
 }
 
 // questionCost returns the bytes on the link of asking agents about flows: the
@@ -63,6 +75,15 @@
 	return agents * (2*messageLength + flows*(fwdmsg.QuestionLength+fwdmsg.StatusLength))
 }
 
+// flowsPerQuery returns the number of flows in one query to a number of agents.
+func (r *Router) flowsPerQuery(agents int) int {
+	if r.linkRate == 0 || agents == 0 {
+		return fwdmsg.MaxQuestions
+	}
+	bytes := maxQueryTime.Seconds()*float64(r.linkRate)/float64(min(agents, maxAskedAtOnce)) - messageLength
+	return max(1, min(int(bytes)/fwdmsg.QuestionLength, fwdmsg.MaxQuestions))
+}
+
 // maxRetryDoublings limits the doublings of retryDelay on a link with a budget.
 const maxRetryDoublings = 3
 
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -68,12 +68,16 @@
 	})
 	for len(keys) > 0 {
 		live, dead := r.possibleHolders(now, route, keys[0].Hash())
-		count := min(len(keys), fwdmsg.MaxQuestions)
-		if !r.budget.take(now, questionCost(len(live)+len(dead), count)) {
+		agents := len(live) + len(dead)
+		count := min(len(keys), r.flowsPerQuery(agents))
+		if !r.budget.take(now, questionCost(agents, count)) {
 			break
 		}
 		r.sendQuery(now, route, keys[:count])
 		keys = keys[count:]
+		if count < fwdmsg.MaxQuestions && r.linkRate > 0 {
+			break // the next tick sends the next query
+		}
 	}
 	for _, key := range keys {
 		if s := r.searches[key]; now.Sub(s.packetAt) >= retryPeriod {
