Measure the use and the queue of the VM's link

Change: usage.Monitor counts what fwbal, fwagt and the control plane send and receive if the settings give the link's rate, adds coriandershift_link_* series, computed when they are read, and logs "link full" and "link free". steer reports round trips through WithRoundTripObserver: from an opening packet to the notice of the agent it was last sent to, and from a query to each reply. Without a rate there are no series and no lines. fwagt passes the time of a step on instead of reading the clock for each packet; it is still read with the lock held, as before.

Tests: go test -race of internal/transport/..., owner, steer, cmd and platform pass.

--- a/cmd/coriandershift-forward/cmd_agent.go
+++ b/cmd/coriandershift-forward/cmd_agent.go
@@ -48,7 +48,7 @@
 	agent, err := fwagt.Listen(fwagt.Options{
 		Log: d.log, Metrics: d.metrics, Control: d.control, PacketCodec: platform.PacketCodec{}, Keys: d.settings.Keys(),
 		Service: settings.Service, Upstream: settings.Upstream, Outbound: settings.Outbound,
-		CallerPort: settings.Callers.Port(),
+		CallerPort: settings.Callers.Port(), LinkRate: d.settings.LinkRate(),
 	})
 	if err != nil {
 		return err
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -54,6 +54,9 @@
 	if pending != nil {
 		known.sawOpening = true
 		r.noticeDelay += (now.Sub(pending.sentAt) - r.noticeDelay) / noticeDelayWeight
+		if pending.agent == e.Agent {
+			r.recordRoundTrip(now, pending.sentAt)
+		}
 	}
 	known.agent = e.Agent
 	known.lastActive = now
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -75,6 +75,7 @@
 	}
 	q.asked[e.Agent] = question{incarnation: q.asked[e.Agent].incarnation}
 	q.pending--
+	r.recordRoundTrip(now, q.askedAt)
 	for i, key := range q.keys {
 		s := r.searches[key]
 		if s == nil || !s.awaits(q) {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -78,6 +78,8 @@
 	// linkRate is the rate of this balancer's link in bytes per second, 0 if not known.
 	linkRate int
 
+	observeRoundTrip func(now time.Time, d time.Duration) // may be nil
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
--- a/internal/transport/ctrl/ctrl.go
+++ b/internal/transport/ctrl/ctrl.go
@@ -42,6 +42,9 @@
 	codec   *gossip.Codec
 	conn    *net.UDPConn
 
+	// observeDatagram is set by ObserveDatagrams.
+	observeDatagram func(sent bool, length int)
+
 	// storeLost says that the last call of the ConfigSource failed. Only the goroutine
 	// of FollowConfigSource accesses it.
 	storeLost bool
@@ -92,6 +95,8 @@
 		node:    member.New(o.Self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:    adopt.New(),
 		changed: make(chan struct{}, 1),
+
+		observeDatagram: func(bool, int) {},
 	}
 	p.node.SetSeeds(o.Seeds)
 	return p, nil
--- a/internal/transport/ctrl/datagrams.go
+++ b/internal/transport/ctrl/datagrams.go
@@ -13,6 +13,13 @@
 // in its longest envelope.
 const MaxDatagram = 2048
 
+// ObserveDatagrams has observe called with the length of each control datagram that is
+// sent or received, the latter after it was read. It must be called before Run and
+// ReadDatagrams.
+func (p *Plane) ObserveDatagrams(observe func(sent bool, length int)) {
+	p.observeDatagram = observe
+}
+
 // ReadDatagrams reads datagrams from the socket until that fails. It handles control
 // datagrams itself and passes the others to handle, which must not retain them.
 func (p *Plane) ReadDatagrams(handle func(datagram []byte)) error {
--- a/internal/transport/ctrl/run.go
+++ b/internal/transport/ctrl/run.go
@@ -10,6 +10,7 @@
 // HandleControl handles one control datagram and sends the replies.
 func (p *Plane) HandleControl(datagram []byte) {
 	p.metrics.ControlBytes.WithLabelValues("in").Add(float64(len(datagram)))
+	p.observeDatagram(false, len(datagram))
 
 	message, err := p.codec.Open(datagram)
 	if err != nil {
@@ -59,6 +60,7 @@
 
 		if _, err := p.conn.WriteToUDPAddrPort(datagram, sends[i].To); err == nil {
 			p.metrics.ControlBytes.WithLabelValues("out").Add(float64(len(datagram)))
+			p.observeDatagram(true, len(datagram))
 		}
 	}
 }
--- a/internal/transport/fwagt/act.go
+++ b/internal/transport/fwagt/act.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+	"github.com/coriandershift/coriandershift/internal/state/link"
+	"github.com/coriandershift/coriandershift/internal/transport/usage"
 )
 
 const (
@@ -26,9 +28,9 @@
 
 // perform carries out actions and sets the timer if one of the owner's tasks is due
 // before the next tick. It must be called with the lock held.
-func (a *Agent) perform(actions []owner.Action) {
+func (a *Agent) perform(now time.Time, actions []owner.Action) {
 	for i := range actions {
-		a.performOne(&actions[i])
+		a.performOne(now, &actions[i])
 	}
 	due, waiting := a.owner.NextTick()
 	if waiting && (a.nextTick.IsZero() || due.Before(a.nextTick)) {
@@ -37,17 +39,19 @@
 	}
 }
 
-func (a *Agent) performOne(action *owner.Action) {
+func (a *Agent) performOne(now time.Time, action *owner.Action) {
 	switch action.Kind {
 	case owner.Deliver:
 		a.packets.SetTag(action.Packet, action.Tag)
 		a.control.WriteDatagram(a.upstreamConn, action.Packet, a.upstream)
 	case owner.Answer:
 		a.control.WriteDatagram(a.upstreamConn, action.Packet, a.callerAddress(action))
+		a.usage.Count(now, link.Out, link.Data, len(action.Packet))
 	case owner.Forward:
 		a.packets.SetTag(action.Packet, 0)
 		a.buffer = a.codec.Append(a.buffer[:0], &action.Envelope, action.Packet)
 		a.control.WriteDatagram(a.control.Conn(), a.buffer, action.To.AddrPort())
+		a.countForwarded(now, action.Packet)
 	case owner.Notify:
 		payload := action.Packet
 		if payload == nil {
@@ -55,13 +59,24 @@
 		}
 		a.buffer = a.codec.Append(a.buffer[:0], &action.Envelope, payload)
 		a.control.WriteDatagram(a.control.Conn(), a.buffer, action.To.AddrPort())
+		a.usage.Count(now, link.Out, usage.MessageKind(action.Envelope.Kind, link.Data), len(a.buffer))
 	case owner.Reset:
 		a.buffer = a.packets.AppendReset(a.buffer[:0], action.Key, action.Sequence)
 		a.control.WriteDatagram(a.upstreamConn, a.buffer, a.callerAddress(action))
+		a.usage.Count(now, link.Out, link.Data, len(a.buffer))
 	}
 	a.logDecision(action)
 }
 
+// countForwarded counts the message in buffer, which carries a caller's packet.
+func (a *Agent) countForwarded(now time.Time, raw []byte) {
+	if a.usage == nil {
+		return
+	}
+	packet, _ := a.packets.Parse(raw) // was parsed before
+	a.usage.Count(now, link.Out, usage.PacketKind(&packet), len(a.buffer))
+}
+
 func (a *Agent) callerAddress(action *owner.Action) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4(action.Key.Caller.IP), a.callerPort)
 }
@@ -124,7 +139,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.log.Warn("upstream gone", "address", a.upstream, "error", err)
-	a.perform(a.owner.HandleUpstreamGone())
+	a.perform(time.Now(), a.owner.HandleUpstreamGone())
 	a.updateWeight()
 }
 
--- a/internal/transport/fwagt/follow.go
+++ b/internal/transport/fwagt/follow.go
@@ -30,7 +30,8 @@
 		return
 	}
 	a.revision = cfg.Revision
-	a.perform(a.owner.Configure(time.Now(), cfg))
+	now := time.Now()
+	a.perform(now, a.owner.Configure(now, cfg))
 	a.updateWeight()
 }
 
@@ -43,7 +44,8 @@
 		}
 		a.mu.Lock()
 		a.nextTick = time.Time{}
-		a.perform(a.owner.Tick(time.Now()))
+		now := time.Now()
+		a.perform(now, a.owner.Tick(now))
 		a.metrics.Connections.Set(float64(a.owner.FlowCount()))
 		a.metrics.SlotsUsed.Set(float64(a.owner.RequestCount()))
 		a.updateWeight()
--- a/internal/transport/fwagt/fwagt.go
+++ b/internal/transport/fwagt/fwagt.go
@@ -17,8 +17,10 @@
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/link"
 	"github.com/coriandershift/coriandershift/internal/transport/ctrl"
 	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/internal/transport/usage"
 )
 
 const (
@@ -41,6 +43,7 @@
 	upstream     netip.AddrPort // where the upstream receives packets
 	callerPort   uint16
 	service      string
+	usage        *usage.Monitor // nil if the link's rate is not known
 
 	mu        sync.Mutex
 	owner     *owner.Owner
@@ -61,6 +64,9 @@
 	Keys        keyset.Set
 	Service     string
 
+	// LinkRate is the rate of the VM's link in bytes per second, 0 if it is not known.
+	LinkRate int
+
 	// Upstream is the address at which the upstream receives packets and accepts TCP
 	// connections; Outbound is the address to which it sends its own packets.
 	Upstream, Outbound netip.AddrPort
@@ -77,6 +83,8 @@
 	}
 
 	self := o.Control.Self()
+	monitor := usage.New(o.LinkRate, o.Log, o.Metrics)
+	o.Control.ObserveDatagrams(monitor.CountMembership)
 	settings := owner.Settings{Self: flow.EndpointOf(self.Address), Domain: self.Domain, Service: o.Service}
 	return &Agent{
 		log:          o.Log,
@@ -88,6 +96,7 @@
 		upstream:     o.Upstream,
 		callerPort:   o.CallerPort,
 		service:      o.Service,
+		usage:        monitor,
 		owner:        owner.New(settings, time.Now()),
 		buffer:       make([]byte, 0, ctrl.MaxDatagram),
 	}, nil
@@ -101,6 +110,7 @@
 	go a.follow(ctx)
 	go a.tick(ctx)
 	go a.probeAtStart()
+	go a.usage.Run(ctx)
 
 	failed := make(chan error, 2)
 	go func() { failed <- a.readUpstream() }()
@@ -119,8 +129,9 @@
 	defer a.mu.Unlock()
 
 	previous := a.owner.Upstream()
-	isNewer, actions := a.owner.HandleAnnouncement(time.Now(), announcement)
-	a.perform(actions)
+	now := time.Now()
+	isNewer, actions := a.owner.HandleAnnouncement(now, announcement)
+	a.perform(now, actions)
 	if !isNewer {
 		a.log.Info("old announcement ignored", "upstream", announcement.ID, "born", announcement.StartedUnixMilli, "sequence", announcement.Sequence)
 		return
@@ -157,7 +168,8 @@
 	}
 
 	a.mu.Lock()
-	a.perform(a.owner.Stop(time.Now()))
+	now := time.Now()
+	a.perform(now, a.owner.Stop(now))
 	a.updateWeight()
 	a.mu.Unlock()
 	a.control.Leave()
@@ -192,7 +204,8 @@
 			continue
 		}
 		a.mu.Lock()
-		a.perform(a.owner.HandleUpstreamPacket(time.Now(), &packet))
+		now := time.Now()
+		a.perform(now, a.owner.HandleUpstreamPacket(now, &packet))
 		a.countCompletions()
 		a.mu.Unlock()
 	}
@@ -202,26 +215,32 @@
 func (a *Agent) handleDatagram(datagram []byte) {
 	envelope, payload, err := a.codec.Open(datagram)
 	if err != nil {
+		a.usage.Count(time.Now(), link.In, link.Data, len(datagram))
 		a.metrics.DroppedDatagrams.WithLabelValues("malformed").Inc()
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
+	if envelope.Kind != fwdmsg.CallerPacket {
+		a.usage.Count(now, link.In, usage.MessageKind(envelope.Kind, link.Data), len(datagram))
+	}
 	switch envelope.Kind {
 	case fwdmsg.CallerPacket:
 		packet, err := a.packets.Parse(payload)
+		a.usage.Count(now, link.In, usage.PacketKind(&packet), len(datagram))
 		if err != nil {
 			a.metrics.DroppedDatagrams.WithLabelValues("malformed").Inc()
 			return
 		}
-		a.perform(a.owner.HandleBalancerPacket(time.Now(), &envelope, &packet))
+		a.perform(now, a.owner.HandleBalancerPacket(now, &envelope, &packet))
 	case fwdmsg.Query:
 		questions, err := fwdmsg.ParseQuestions(payload)
 		if err != nil {
 			a.metrics.DroppedDatagrams.WithLabelValues("malformed").Inc()
 			return
 		}
-		a.perform(a.owner.HandleQuery(&envelope, questions))
+		a.perform(now, a.owner.HandleQuery(&envelope, questions))
 	default:
 		a.metrics.DroppedDatagrams.WithLabelValues("malformed").Inc()
 	}
--- a/internal/transport/fwbal/act.go
+++ b/internal/transport/fwbal/act.go
@@ -7,13 +7,16 @@
 
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
+	"github.com/coriandershift/coriandershift/internal/state/link"
+	"github.com/coriandershift/coriandershift/internal/transport/usage"
 )
 
 // perform carries out actions and sets the timer if one of the router's tasks is due
-// before the next tick. It must be called with the lock held.
-func (b *Balancer) perform(actions []steer.Action) {
+// before the next tick. kind is that of the packet that the actions are for, as far as
+// the reason of an action does not tell it. It must be called with the lock held.
+func (b *Balancer) perform(now time.Time, kind link.Kind, actions []steer.Action) {
 	for i := range actions {
-		b.performOne(&actions[i])
+		b.performOne(now, kind, &actions[i])
 	}
 	due, waiting := b.router.NextTick()
 	if waiting && (b.nextTick.IsZero() || due.Before(b.nextTick)) {
@@ -22,18 +25,28 @@
 	}
 }
 
-func (b *Balancer) performOne(a *steer.Action) {
+func (b *Balancer) performOne(now time.Time, kind link.Kind, a *steer.Action) {
 	switch a.Kind {
 	case steer.Send:
 		b.buffer = b.codec.Append(b.buffer[:0], &a.Envelope, a.Packet)
 		b.control.WriteDatagram(b.control.Conn(), b.buffer, a.To.AddrPort())
+		if placed(a.Reason) {
+			kind = link.Opening
+		}
+		b.usage.Count(now, link.Out, usage.MessageKind(a.Envelope.Kind, kind), len(b.buffer))
 	case steer.Reset:
 		b.buffer = b.packets.AppendReset(b.buffer[:0], a.Key, a.Sequence)
 		b.control.WriteDatagram(b.callerConn, b.buffer, netip.AddrPortFrom(netip.AddrFrom4(a.Key.Caller.IP), b.callerPort()))
+		b.usage.Count(now, link.Out, link.Data, len(b.buffer))
 	}
 	b.logDecision(a)
 }
 
+// placed reports whether a reason is one of those with which opening packets are sent.
+func placed(r steer.Reason) bool {
+	return r == steer.Placed || r == steer.PlacedAllFull || r == steer.PlacedNextAfterSilence
+}
+
 // logDecision logs and counts a decision. Packets of known flows and queries are only
 // counted.
 func (b *Balancer) logDecision(a *steer.Action) {
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -18,9 +18,11 @@
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/keyset"
+	"github.com/coriandershift/coriandershift/internal/state/link"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 	"github.com/coriandershift/coriandershift/internal/transport/ctrl"
 	"github.com/coriandershift/coriandershift/internal/transport/metric"
+	"github.com/coriandershift/coriandershift/internal/transport/usage"
 )
 
 const (
@@ -39,7 +41,8 @@
 	control    *ctrl.Plane
 	packets    coriandershift.PacketCodec
 	codec      *fwdmsg.Codec
-	callerConn *net.UDPConn // the fabric delivers packets here
+	callerConn *net.UDPConn   // the fabric delivers packets here
+	usage      *usage.Monitor // nil if the link's rate is not known
 
 	mu        sync.Mutex
 	router    *steer.Router
@@ -76,6 +79,8 @@
 	}
 
 	self := o.Control.Self()
+	monitor := usage.New(o.LinkRate, o.Log, o.Metrics)
+	o.Control.ObserveDatagrams(monitor.CountMembership)
 	return &Balancer{
 		log:        o.Log,
 		metrics:    o.Metrics,
@@ -83,8 +88,10 @@
 		packets:    o.PacketCodec,
 		codec:      fwdmsg.New(o.Keys),
 		callerConn: conn,
-		router:     steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now(), steer.WithLinkRate(o.LinkRate)),
-		buffer:     make([]byte, 0, ctrl.MaxDatagram),
+		usage:      monitor,
+		router: steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now(),
+			steer.WithLinkRate(o.LinkRate), steer.WithRoundTripObserver(monitor.ObserveRoundTrip)),
+		buffer: make([]byte, 0, ctrl.MaxDatagram),
 	}, nil
 }
 
@@ -96,6 +103,7 @@
 	go b.follow(ctx)
 	go b.tick(ctx)
 	go b.loadCensus(ctx)
+	go b.usage.Run(ctx)
 
 	failed := make(chan error, 2)
 	go func() { failed <- b.readCallers() }()
@@ -124,15 +132,17 @@
 			return errors.Wrap(err, "read from the fabric")
 		}
 
+		now := time.Now()
 		packet, err := b.packets.Parse(buffer[:count])
+		kind := usage.PacketKind(&packet)
+		b.usage.Count(now, link.In, kind, count)
 		if err != nil {
 			b.metrics.DroppedDatagrams.WithLabelValues(string(steer.Malformed)).Inc()
 			continue
 		}
-		now := time.Now()
 		b.mu.Lock()
 		b.lastCallerPacketAt = now
-		b.perform(b.router.HandleCallerPacket(now, &packet))
+		b.perform(now, kind, b.router.HandleCallerPacket(now, &packet))
 		b.mu.Unlock()
 	}
 }
@@ -140,12 +150,15 @@
 func (b *Balancer) handleAgentDatagram(datagram []byte) {
 	envelope, payload, err := b.codec.Open(datagram)
 	if err != nil {
+		b.usage.Count(time.Now(), link.In, link.Data, len(datagram))
 		b.metrics.DroppedDatagrams.WithLabelValues(string(steer.Malformed)).Inc()
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.perform(b.router.HandleAgentMessage(time.Now(), &envelope, payload, b.packets.Parse))
+	now := time.Now()
+	b.usage.Count(now, link.In, usage.MessageKind(envelope.Kind, link.Data), len(datagram))
+	b.perform(now, link.Data, b.router.HandleAgentMessage(now, &envelope, payload, b.packets.Parse))
 }
 
 // follow applies each change of the configuration and the members.
@@ -178,7 +191,7 @@
 	}
 	now := time.Now()
 	b.router.UpdateMembers(now, changed)
-	b.perform(b.router.RouteHeld(now))
+	b.perform(now, link.Data, b.router.RouteHeld(now))
 	b.metrics.Members.Set(float64(b.control.MemberCount()))
 }
 
@@ -205,7 +218,8 @@
 	if synced {
 		b.router.MarkSynced()
 	}
-	b.perform(b.router.Tick(time.Now()))
+	now := time.Now()
+	b.perform(now, link.Data, b.router.Tick(now))
 	b.metrics.Connections.Set(float64(b.router.FlowCount()))
 	if b.router.Converged() && !b.converged {
 		b.converged = true
