A command that shows what the links of VMs carry

Cause: to find out why an upload was refused or late, an operator had to read the metrics of each VM by hand. Change: coriandershift-forward link reads /metrics of the given balancers and agents twice and prints use, queue, kilobytes a second by kind, and the datagrams dropped and decided on by reason, as tables or JSON.

--- a/cmd/coriandershift-forward/main.go
+++ b/cmd/coriandershift-forward/main.go
@@ -14,7 +14,7 @@
 		Name:     "coriandershift-forward",
 		Help:     "coriandershift-forward runs the daemons that forward opaque flows between callers and upstreams.",
 		Version:  version.Number,
-		Commands: []clitab.Command{balancerCommand, agentCommand, checkCommand},
+		Commands: []clitab.Command{balancerCommand, agentCommand, checkCommand, linkCommand},
 	}
 	os.Exit(program.Main(os.Args[1:]))
 }
