--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -57,6 +57,9 @@
 	if pending != nil {
 		known.sawOpening = true
 		r.noticeDelay += (now.Sub(pending.placedAt) - r.noticeDelay) / noticeDelayWeight
+		if pending.agent == e.Agent {
+			r.recordRoundTrip(now, pending.placedAt)
+		}
 	}
 	known.agent = e.Agent
 	known.lastActive = now
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -86,6 +86,8 @@
 	late              bool
 	latenessCheckedAt time.Time
 
+	observeRoundTrip func(now time.Time, d time.Duration) // may be nil
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
