--- a/internal/state/setup/forward_test.go
+++ b/internal/state/setup/forward_test.go
@@ -101,14 +101,22 @@
 					return "10.1.0.9"
 				case "{{internalPortRange.0}}":
 					return "7720"
+				case "{{limits.linkMbps}}":
+					return "10.0"
+				case "{{#limits.linkMbps}}", "{{/limits.linkMbps}}":
+					return ""
 				case "{{nodeName}}", "{{zone}}", "{{service}}":
 					return "a-name"
 				}
 				port++
 				return "10.1.0.9:" + string([]byte{'8', byte('0' + port/100%10), byte('0' + port/10%10), byte('0' + port%10)})
 			})
-			if _, err := setup.ParseForward(role, []byte(text)); err != nil {
-				t.Error(err)
+			f, err := setup.ParseForward(role, []byte(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := f.LinkRate(); got != 1_250_000 {
+				t.Errorf("the link has %d bytes per second, want 1250000", got)
 			}
 		})
 	}
