Refuse uploads that a narrow link cannot carry in time

Callers upload in bursts through balancers with links of 10 Mbit/s. All uploads were taken, the queue at the link exceeded the time after which callers retransmit, and small urgent requests on the VM were late, too.

Package intake learns the sizes of each route's transfers and refuses a new flow of a heavy route at its first opening packet if the link cannot carry it within the objective.

--- /dev/null
+++ b/internal/coordination/intake/caller.go
@@ -0,0 +1,56 @@
+package intake
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// callerTTL is the time after its latest heavy flow, taken or refused, for which a
+	// caller counts as competing for the link.
+	callerTTL = 2 * time.Second
+
+	// maxCallers limits the callers that are kept per priority.
+	maxCallers = 1024
+)
+
+// callerTable holds the callers of one priority, the latest ones last.
+type callerTable = simplelru.LRU[[4]byte, *account]
+
+// account is a caller's use of its share of the link.
+type account struct {
+	askedAt time.Time
+
+	// nextAt is the time from which the caller is within its share again.
+	nextAt time.Time
+}
+
+// account returns the account of a caller that asks for a heavy flow now, and removes the
+// callers that do not compete any more.
+func (c *Control) account(now time.Time, priority int, caller [4]byte) *account {
+	table := c.callers[priority]
+	if table == nil {
+		table, _ = simplelru.NewLRU[[4]byte, *account](maxCallers, nil) // fails only for a size below 1
+		c.callers[priority] = table
+	}
+	a, found := table.Get(caller)
+	if !found {
+		a = &account{}
+		table.Add(caller, a)
+	}
+	a.askedAt = now
+	for {
+		_, oldest, _ := table.GetOldest() // there is one at least: this caller
+		if now.Sub(oldest.askedAt) < callerTTL {
+			return a
+		}
+		table.RemoveOldest()
+	}
+}
+
+// charge records a transfer of a size in bytes that the caller begins within its share,
+// which is in bytes per second.
+func (a *account) charge(now time.Time, size, share float64) {
+	a.nextAt = now.Add(time.Duration(size / share * float64(time.Second)))
+}
--- /dev/null
+++ b/internal/coordination/intake/route.go
@@ -0,0 +1,88 @@
+package intake
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+const (
+	// fullPacket is the size of a packet with the most data, 1,200 bytes, on the link.
+	fullPacket = 1200 + 31 + datagramOverhead
+
+	// maxLightSize is the mean size of a route's transfers, in bytes, above which the
+	// route is heavy: a few packets.
+	maxLightSize = 4 * fullPacket
+
+	// sizeSmoothing is the divisor of the moving average of sizes: a new one has the
+	// weight 1/sizeSmoothing.
+	sizeSmoothing = 16
+
+	// idleRouteTTL is the time without a packet after which a route's mean is forgotten.
+	idleRouteTTL = 10 * time.Minute
+)
+
+// routeState is what is known of the transfers of one route.
+type routeState struct {
+	priority  int
+	objective time.Duration
+
+	// meanSize is the moving average of the sizes of ended transfers in bytes on the link,
+	// 0 if none has ended. largest is the size of the largest one in progress until then.
+	meanSize, largest float64
+
+	// unfinished counts the unfinished transfers, and outstanding is the sum of what they
+	// still expect.
+	unfinished  int
+	outstanding float64
+
+	// other measures the packets of the route that outstanding does not cover.
+	other meter
+}
+
+// state returns the state of a route, with the values of the configuration in force.
+func (c *Control) state(address flow.Endpoint, route *config.Route) *routeState {
+	s := c.routes[address]
+	if s == nil {
+		s = &routeState{}
+		c.routes[address] = s
+	}
+	s.priority, s.objective = route.Priority, route.Objective.Duration()
+	return s
+}
+
+// evictIdleRoutes removes routes without transfers that got no packet for idleRouteTTL.
+func (c *Control) evictIdleRoutes(now time.Time) {
+	for address, s := range c.routes {
+		if s.unfinished == 0 && now.Sub(s.other.updatedAt) >= idleRouteTTL {
+			delete(c.routes, address)
+		}
+	}
+}
+
+// expected returns the expected size of a transfer in bytes on the link.
+func (s *routeState) expected() float64 {
+	if s.meanSize > 0 {
+		return s.meanSize
+	}
+	return s.largest
+}
+
+func (s *routeState) isHeavy() bool {
+	return s.expected() > maxLightSize
+}
+
+// recordProgress records how much of a transfer has arrived.
+func (s *routeState) recordProgress(received float64) {
+	s.largest = max(s.largest, received)
+}
+
+// recordSize records the size of an ended transfer.
+func (s *routeState) recordSize(size float64) {
+	if s.meanSize == 0 {
+		s.meanSize = size
+		return
+	}
+	s.meanSize += (size - s.meanSize) / sizeSmoothing
+}
--- /dev/null
+++ b/internal/coordination/intake/transfer.go
@@ -0,0 +1,128 @@
+package intake
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// datagramOverhead is the number of bytes that a packet has on the link besides its own:
+// the envelope without ranks, and IP and UDP headers.
+const datagramOverhead = 53 + 28
+
+// packetSize returns the bytes of a packet on the link from the balancer to an agent.
+func packetSize(p *flow.Packet) float64 {
+	return float64(len(p.Raw) + datagramOverhead)
+}
+
+// transfer is what a caller sends on a flow up to the answer of the upstream.
+type transfer struct {
+	route      *routeState
+	lastPacket time.Time
+
+	// active says that the transfer counts as unfinished. It then has a share of the
+	// route's sums: remaining bytes that are still expected.
+	active    bool
+	remaining float64
+
+	// received is the size of the packets that carried new data. It is the whole of the
+	// transfer if sawStart.
+	received float64
+	sawStart bool
+
+	// next is the sequence number after the latest data; acknowledged is the
+	// acknowledgement number of the first data packet. They are valid if hasData.
+	next         uint32
+	acknowledged uint32
+	hasData      bool
+
+	// finished says that the caller has ended the flow.
+	finished bool
+}
+
+func newTransfer(p *flow.Packet, s *routeState) *transfer {
+	t := &transfer{route: s, sawStart: p.IsOpening()}
+	t.start()
+	return t
+}
+
+// observe records a packet and returns how many of its bytes were expected.
+func (t *transfer) observe(p *flow.Packet, size float64) float64 {
+	if t.finished {
+		return 0
+	}
+	if t.hasData && p.Ack && isAfter(p.Acknowledged, t.acknowledged) {
+		t.complete()
+	}
+	expected := 0.0
+	if p.DataLength > 0 {
+		expected = t.receive(p, size)
+	}
+	if p.Finish || p.Reset {
+		if p.Finish && t.hasData {
+			t.complete()
+		}
+		t.stop()
+		t.finished = true
+	}
+	return expected
+}
+
+func (t *transfer) receive(p *flow.Packet, size float64) float64 {
+	end := p.Sequence + uint32(p.DataLength)
+	if !t.hasData {
+		t.hasData, t.acknowledged = true, p.Acknowledged
+		t.next = p.Sequence
+		t.start()
+	}
+	if !isAfter(end, t.next) {
+		return 0 // a retransmission
+	}
+	t.next = end
+	t.received += size
+	t.route.recordProgress(t.received)
+
+	before := t.remaining
+	t.setRemaining(max(0, t.route.expected()-t.received))
+	return min(size, max(0, before-t.remaining))
+}
+
+// complete ends the transfer, whose size is known if its start was seen. Further data on
+// the flow begins another one.
+func (t *transfer) complete() {
+	if t.sawStart {
+		t.route.recordSize(t.received)
+	}
+	t.stop()
+	t.received, t.hasData, t.sawStart = 0, false, true
+}
+
+// start counts the transfer as unfinished.
+func (t *transfer) start() {
+	if t.active {
+		return
+	}
+	t.active = true
+	t.route.unfinished++
+	t.setRemaining(max(0, t.route.expected()-t.received))
+}
+
+// stop ends counting the transfer as unfinished.
+func (t *transfer) stop() {
+	if !t.active {
+		return
+	}
+	t.setRemaining(0)
+	t.active = false
+	t.route.unfinished--
+}
+
+func (t *transfer) setRemaining(remaining float64) {
+	t.route.outstanding += remaining - t.remaining
+	t.remaining = remaining
+}
+
+// isAfter compares sequence numbers, which wrap around.
+func isAfter(a, b uint32) bool {
+	return int32(a-b) > 0
+}
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -41,6 +41,9 @@
 	// flow. LoadAge is the age of the report behind it, 0 if there was none.
 	Load    float64
 	LoadAge time.Duration
+
+	// Priority is the priority of the flow's route; set with LinkBusy.
+	Priority int
 }
 
 // Reason says why a packet was routed, held, dropped or reset. It appears in logs and metrics.
@@ -67,5 +70,6 @@
 	NotFoundAgentsUnknown  Reason = "notFoundAgentsUnknown"
 	NotFoundAgentSilent    Reason = "notFoundAgentSilent"
 
+	LinkBusy  Reason = "linkBusy"  // new flow; the link cannot carry it in time
 	Malformed Reason = "malformed" // the packet could not be parsed
 )
--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -28,6 +28,7 @@
 	case p.IsOpening():
 		r.routeOpening(now, key, p, route)
 	default:
+		r.intake.Observe(now, p, route)
 		r.routeEstablished(now, key, p, route)
 	}
 }
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -43,6 +43,7 @@
 	delete(r.searches, key)
 	if e.Refused {
 		delete(r.flows, key)
+		r.intake.Forget(key)
 		return
 	}
 
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -101,6 +101,7 @@
 func (r *Router) routeOpening(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) {
 	if known := r.flows[key]; known != nil && known.sawOpening && known.openingSequence == p.Sequence {
 		known.lastActive = now
+		r.intake.Observe(now, p, route)
 		r.send(Action{Key: key, To: known.agent, Envelope: r.envelope(route, key, false), Packet: p.Raw})
 		return
 	}
@@ -113,6 +114,9 @@
 		r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
 		return
 	}
+	if r.refuseForLink(now, key, p, route) {
+		return
+	}
 
 	chosen, direct := r.rankCandidates(now, key.Hash(), svc)
 	envelope := r.envelope(route, key, true)
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/intake"
 	"github.com/coriandershift/coriandershift/internal/coordination/pick"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -88,6 +89,9 @@
 
 	observeRoundTrip func(now time.Time, d time.Duration) // may be nil
 
+	// intake decides which new flows the link can carry; nil, which takes all, without linkRate.
+	intake *intake.Control
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
@@ -161,6 +165,7 @@
 	for _, apply := range options {
 		apply(r)
 	}
+	r.intake = intake.New(r.linkRate)
 	return r
 }
 
--- a/internal/transport/fwbal/act.go
+++ b/internal/transport/fwbal/act.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
@@ -69,11 +70,17 @@
 		return
 	}
 	b.metrics.DroppedDatagrams.WithLabelValues(string(a.Reason)).Inc()
+	if a.Reason == steer.LinkBusy {
+		b.metrics.LinkRefusals.WithLabelValues(strconv.Itoa(a.Priority)).Inc()
+	}
 	fields := []any{"flow", a.Key, "reason", string(a.Reason), "reset", a.Kind == steer.Reset,
 		"revision", b.revision, "agents", b.router.EligibleAgentCount()}
 	if !a.To.IsZero() {
 		fields = append(fields, "silent", a.To)
 	}
+	if a.Reason == steer.LinkBusy {
+		fields = append(fields, "priority", a.Priority, "outstandingBytes", b.router.OutstandingBytes())
+	}
 	b.log.Info("flow not routed", fields...)
 }
 
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -221,6 +221,7 @@
 	now := time.Now()
 	b.perform(now, link.Data, b.router.Tick(now))
 	b.metrics.Connections.Set(float64(b.router.FlowCount()))
+	b.metrics.OutstandingBytes.Set(float64(b.router.OutstandingBytes()))
 	if b.router.Converged() && !b.converged {
 		b.converged = true
 		b.log.Info("all agents are known", "agents", b.router.EligibleAgentCount(), "agreed", synced, "gone", b.router.GoneCount())
