Let uploads wait for room on the link, fair by caller

A new flow of a heavy route that the link cannot carry at once waits for up to 100 ms, in the order of priority; one whose turn cannot come by then is refused at once. Data beyond the mean of a transfer is no other traffic: counted so, large files lowered the rate for new ones twice. Each caller has the rate divided by the callers that compete.

--- a/internal/coordination/intake/caller.go
+++ b/internal/coordination/intake/caller.go
@@ -13,6 +13,13 @@
 
 	// maxCallers limits the callers that are kept per priority.
 	maxCallers = 1024
+
+	// creditTransfers is the number of transfers whose share a caller keeps while it does not use it.
+	creditTransfers = 1
+
+	// maxDebtTransfers is the number of transfers for which a caller that has had more than
+	// its share comes after others.
+	maxDebtTransfers = 3
 )
 
 // callerTable holds the callers of one priority, the latest ones last.
@@ -22,6 +29,9 @@
 type account struct {
 	askedAt time.Time
 
+	// unfinished counts the caller's unfinished transfers that were opened here.
+	unfinished int
+
 	// nextAt is the time from which the caller is within its share again.
 	nextAt time.Time
 }
@@ -52,5 +62,12 @@
 // charge records a transfer of a size in bytes that the caller begins within its share,
 // which is in bytes per second.
 func (a *account) charge(now time.Time, size, share float64) {
-	a.nextAt = now.Add(time.Duration(size / share * float64(time.Second)))
+	cost := time.Duration(size / share * float64(time.Second))
+	if credit := now.Add(-creditTransfers * cost); a.nextAt.Before(credit) {
+		a.nextAt = credit
+	}
+	a.nextAt = a.nextAt.Add(cost)
+	if latest := now.Add(maxDebtTransfers * cost); a.nextAt.After(latest) {
+		a.nextAt = latest
+	}
 }
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -35,6 +35,7 @@
 	transfers map[flow.Key]*transfer
 	routes    map[flow.Endpoint]*routeState
 	callers   map[int]*callerTable // by priority
+	waiting   []*waitingFlow       // by priority, then by arrival
 	lastSweep time.Time
 }
 
@@ -66,19 +67,37 @@
 	return func(c *Control) { c.linkShare = share }
 }
 
-// Admit reports whether the balancer takes the new flow of an opening packet, which must
-// be the first copy of one that was not placed anywhere.
-func (c *Control) Admit(now time.Time, p *flow.Packet, route *config.Route) bool {
+// Admit decides on the new flow of an opening packet, which must be the first copy of one
+// that was not placed anywhere.
+func (c *Control) Admit(now time.Time, p *flow.Packet, route *config.Route) Verdict {
 	if c == nil {
-		return true
+		return Take
 	}
 	c.sweep(now)
 	s := c.state(p.Destination, route)
-	if s.isHeavy() && !c.hasRoom(now, p.Source.IP, s) {
-		return false
+	key := p.KeyFromCaller()
+	var verdict Verdict
+	if s.isHeavy() {
+		verdict = c.decide(now, key, s)
+	} else {
+		verdict = Take
+		c.begin(now, key, s, nil)
+	}
+	if verdict != Refuse {
+		s.other.add(now, packetSize(p))
 	}
-	c.Observe(now, p, route)
-	return true
+	return verdict
+}
+
+// begin counts the transfer of a new flow.
+func (c *Control) begin(now time.Time, key flow.Key, s *routeState, a *account) {
+	if len(c.transfers) >= maxTransfers {
+		return
+	}
+	c.Forget(key)
+	t := newTransfer(s, a, true)
+	t.lastPacket = now
+	c.transfers[key] = t
 }
 
 // Observe records a packet of a caller that the balancer forwards, unless Admit has.
@@ -96,17 +115,17 @@
 			s.other.add(now, size)
 			return
 		}
-		t = newTransfer(p, s)
+		t = newTransfer(s, nil, p.IsOpening())
 		c.transfers[key] = t
 	}
 	t.lastPacket = now
-	if expected := t.observe(p, size); s.isHeavy() {
-		size -= expected
+	if isNew := t.observe(p, size); isNew && s.isHeavy() {
+		size = 0
 	}
 	s.other.add(now, size)
 }
 
-// Forget ends the transfer of a flow that does not exist any more.
+// Forget ends the transfer of a flow that does not exist any more. It must not be waiting.
 func (c *Control) Forget(key flow.Key) {
 	if c == nil {
 		return
--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -1,6 +1,10 @@
 package intake
 
-import "time"
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
 
 const (
 	// defaultLinkShare is the share of the link's rate that callers' packets may use.
@@ -26,42 +30,94 @@
 	spareShare = 0.5
 )
 
-// hasRoom reports whether a transfer of a heavy route can end within the route's
-// objective, and charges it to its caller.
-func (c *Control) hasRoom(now time.Time, caller [4]byte, s *routeState) bool {
-	own := s.expected()
-	ahead, inFlight, rate := 0.0, 0.0, c.linkShare*float64(c.linkRate)
+// linkLoad is what is ahead of a new transfer on the link, in bytes.
+type linkLoad struct {
+	rate        float64 // in bytes per second, what other traffic leaves
+	outstanding float64
+	inFlight    float64 // at most
+	waiting     float64 // expected of waiting flows
+	unfinished  int     // transfers of the same priority
+}
+
+// loadAhead returns what is ahead of a transfer of a priority: what routes of the same or
+// a more urgent one have outstanding, and all traffic of light routes.
+func (c *Control) loadAhead(now time.Time, priority int) linkLoad {
+	l := linkLoad{rate: c.linkShare * float64(c.linkRate)}
 	for _, r := range c.routes {
-		if r.isHeavy() && r.priority > s.priority {
-			continue // less urgent
+		if r.isHeavy() && r.priority > priority {
+			continue
 		}
-		rate -= r.other.rate(now)
+		l.rate -= r.other.rate(now)
 		if r.isHeavy() {
-			ahead += r.outstanding
-			inFlight += float64(r.unfinished) * r.inFlight()
+			if r.priority == priority {
+				l.unfinished += r.unfinished
+			}
+			l.outstanding += r.outstanding
+			l.inFlight += float64(r.unfinished) * r.inFlight()
 		}
 	}
-	rate = max(rate, 0)
-
-	account := c.account(now, s.priority, caller)
-	withinShare := !now.Before(account.nextAt)
-	room := 1.0
-	if !withinShare {
-		room = spareShare
+	l.rate = max(l.rate, 0)
+	for _, w := range c.waiting {
+		if w.route.priority <= priority {
+			l.waiting += w.route.expected()
+		}
 	}
+	return l
+}
+
+// hasRoom reports whether a transfer of a route that begins now ends within a share of
+// the limits.
+func (l *linkLoad) hasRoom(s *routeState, share float64) bool {
+	return l.endsInTime(s, l.outstanding, share) && l.inFlight+s.inFlight() <= share*l.rate*maxQueueDelay.Seconds()
+}
+
+// hasRoomToWait reports whether a transfer of a route can begin within maxWait and end in time.
+func (l *linkLoad) hasRoomToWait(s *routeState) bool {
+	return l.endsInTime(s, l.outstanding+l.waiting, 1) && l.waiting+s.expected() <= l.rate*maxWait.Seconds()
+}
+
+func (l *linkLoad) endsInTime(s *routeState, ahead, share float64) bool {
 	objective := s.objective
 	if objective == 0 {
 		objective = defaultObjective
 	}
-	fits := ahead+own <= room*objectiveShare*objective.Seconds()*rate &&
-		inFlight+s.inFlight() <= room*maxQueueDelay.Seconds()*rate
-	if !fits && (inFlight > 0 || !withinShare) {
-		return false
+	return ahead+s.expected() <= share*objectiveShare*objective.Seconds()*l.rate
+}
+
+// decide returns what becomes of a caller's new flow of a heavy route.
+func (c *Control) decide(now time.Time, key flow.Key, s *routeState) Verdict {
+	l := c.loadAhead(now, s.priority)
+	a := c.account(now, s.priority, key.Caller.IP)
+	callers := c.callers[s.priority].Len()
+	fair := l.rate / float64(callers)
+	debt := a.nextAt.Sub(now).Seconds() * fair
+	withinShare := debt <= 0 && a.unfinished*callers <= l.unfinished
+	share := 1.0
+	switch {
+	case debt > s.expected():
+		share = spareShare / 2
+	case !withinShare:
+		share = spareShare
+	}
+
+	verdict := Refuse
+	switch {
+	case l.waiting == 0 && l.hasRoom(s, share):
+		verdict = Take
+	case !withinShare:
+	case l.waiting == 0 && l.inFlight == 0:
+		verdict = Take // too large for the link at any time
+	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s):
+		verdict = Wait
+		c.enqueue(&waitingFlow{key: key, route: s, account: a, since: now})
+	}
+	if verdict == Take {
+		c.begin(now, key, s, a)
 	}
-	if withinShare && rate > 0 {
-		account.charge(now, own, rate/float64(c.callers[s.priority].Len()))
+	if verdict != Refuse && fair > 0 {
+		a.charge(now, s.expected(), fair)
 	}
-	return true
+	return verdict
 }
 
 // inFlight returns the bytes that an unfinished transfer may have in flight.
--- a/internal/coordination/intake/route.go
+++ b/internal/coordination/intake/route.go
@@ -17,7 +17,11 @@
 
 	// sizeSmoothing is the divisor of the moving average of sizes: a new one has the
 	// weight 1/sizeSmoothing.
-	sizeSmoothing = 16
+	sizeSmoothing = 8
+
+	// maxSizeFactor limits the size that counts in the average to a multiple of it, so that
+	// a single large transfer does not make a light route heavy.
+	maxSizeFactor = 4
 
 	// idleRouteTTL is the time without a packet after which a route's mean is forgotten.
 	idleRouteTTL = 10 * time.Minute
@@ -37,7 +41,8 @@
 	unfinished  int
 	outstanding float64
 
-	// other measures the packets of the route that outstanding does not cover.
+	// other measures the packets of the route that do not belong to what is outstanding: all
+	// of a light route; opening packets, acknowledgements and retransmissions of a heavy one.
 	other meter
 }
 
@@ -84,5 +89,6 @@
 		s.meanSize = size
 		return
 	}
+	size = min(size, maxSizeFactor*s.meanSize)
 	s.meanSize += (size - s.meanSize) / sizeSmoothing
 }
--- a/internal/coordination/intake/transfer.go
+++ b/internal/coordination/intake/transfer.go
@@ -10,6 +10,10 @@
 // the envelope without ranks, and IP and UDP headers.
 const datagramOverhead = 53 + 28
 
+// minRemainingShare is the share of the mean size that is expected at least of a transfer
+// that has not ended.
+const minRemainingShare = 0.5
+
 // packetSize returns the bytes of a packet on the link from the balancer to an agent.
 func packetSize(p *flow.Packet) float64 {
 	return float64(len(p.Raw) + datagramOverhead)
@@ -18,6 +22,7 @@
 // transfer is what a caller sends on a flow up to the answer of the upstream.
 type transfer struct {
 	route      *routeState
+	account    *account // of the caller; nil if the flow was not opened here, or is light
 	lastPacket time.Time
 
 	// active says that the transfer counts as unfinished. It then has a share of the
@@ -40,24 +45,21 @@
 	finished bool
 }
 
-func newTransfer(p *flow.Packet, s *routeState) *transfer {
-	t := &transfer{route: s, sawStart: p.IsOpening()}
+func newTransfer(s *routeState, a *account, sawStart bool) *transfer {
+	t := &transfer{route: s, account: a, sawStart: sawStart}
 	t.start()
 	return t
 }
 
-// observe records a packet and returns how many of its bytes were expected.
-func (t *transfer) observe(p *flow.Packet, size float64) float64 {
+// observe records a packet and reports whether it carries new data.
+func (t *transfer) observe(p *flow.Packet, size float64) bool {
 	if t.finished {
-		return 0
+		return false
 	}
 	if t.hasData && p.Ack && isAfter(p.Acknowledged, t.acknowledged) {
 		t.complete()
 	}
-	expected := 0.0
-	if p.DataLength > 0 {
-		expected = t.receive(p, size)
-	}
+	isNew := p.DataLength > 0 && t.receive(p, size)
 	if p.Finish || p.Reset {
 		if p.Finish && t.hasData {
 			t.complete()
@@ -65,10 +67,10 @@
 		t.stop()
 		t.finished = true
 	}
-	return expected
+	return isNew
 }
 
-func (t *transfer) receive(p *flow.Packet, size float64) float64 {
+func (t *transfer) receive(p *flow.Packet, size float64) bool {
 	end := p.Sequence + uint32(p.DataLength)
 	if !t.hasData {
 		t.hasData, t.acknowledged = true, p.Acknowledged
@@ -76,15 +78,13 @@
 		t.start()
 	}
 	if !isAfter(end, t.next) {
-		return 0 // a retransmission
+		return false // a retransmission
 	}
 	t.next = end
 	t.received += size
 	t.route.recordProgress(t.received)
-
-	before := t.remaining
-	t.setRemaining(max(0, t.route.expected()-t.received))
-	return min(size, max(0, before-t.remaining))
+	t.setRemaining(t.expectedRemaining())
+	return true
 }
 
 // complete ends the transfer, whose size is known if its start was seen. Further data on
@@ -104,7 +104,16 @@
 	}
 	t.active = true
 	t.route.unfinished++
-	t.setRemaining(max(0, t.route.expected()-t.received))
+	if t.account != nil {
+		t.account.unfinished++
+	}
+	t.setRemaining(t.expectedRemaining())
+}
+
+// expectedRemaining returns how much of the transfer is still expected while it has not
+// ended. Of those that reach the mean, many are much larger.
+func (t *transfer) expectedRemaining() float64 {
+	return max(t.route.expected()-t.received, minRemainingShare*t.route.expected())
 }
 
 // stop ends counting the transfer as unfinished.
@@ -115,6 +124,9 @@
 	t.setRemaining(0)
 	t.active = false
 	t.route.unfinished--
+	if t.account != nil {
+		t.account.unfinished--
+	}
 }
 
 func (t *transfer) setRemaining(remaining float64) {
--- /dev/null
+++ b/internal/coordination/intake/wait.go
@@ -0,0 +1,73 @@
+package intake
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+const (
+	// maxWait is the longest time that a new flow waits for room. The opening packet may
+	// have waited at the link for about as long before it arrived, and the caller repeats it
+	// after 200 ms: the copy might reach another balancer, after which a refusal here could
+	// end an attempt that goes on there.
+	maxWait = 100 * time.Millisecond
+
+	// maxWaiting limits the waiting flows.
+	maxWaiting = 256
+)
+
+// waitingFlow is a new flow of a heavy route that waits for room.
+type waitingFlow struct {
+	key     flow.Key
+	route   *routeState
+	account *account // of its caller, charged
+	since   time.Time
+}
+
+// enqueue adds a flow behind those of the same or a more urgent priority.
+func (c *Control) enqueue(w *waitingFlow) {
+	i := slices.IndexFunc(c.waiting, func(other *waitingFlow) bool { return other.route.priority > w.route.priority })
+	if i < 0 {
+		i = len(c.waiting)
+	}
+	c.waiting = slices.Insert(c.waiting, i, w)
+}
+
+// Next returns a waiting flow that is taken or refused now, and false if there is none.
+// It is to be called again until then.
+func (c *Control) Next(now time.Time) (flow.Key, Verdict, bool) {
+	if c == nil || len(c.waiting) == 0 {
+		return flow.Key{}, Wait, false
+	}
+	c.sweep(now)
+	for i, w := range c.waiting {
+		if now.Sub(w.since) >= maxWait {
+			c.waiting = slices.Delete(c.waiting, i, i+1)
+			w.account.nextAt = time.Time{} // it did not get what it was charged for
+			return w.key, Refuse, true
+		}
+	}
+	first := c.waiting[0]
+	if l := c.loadAhead(now, first.route.priority); l.inFlight > 0 && !l.hasRoom(first.route, 1) {
+		return flow.Key{}, Wait, false
+	}
+	c.waiting = slices.Delete(c.waiting, 0, 1)
+	c.begin(now, first.key, first.route, first.account)
+	return first.key, Take, true
+}
+
+// NextDue returns when Next is due at the latest, and false if no flow waits.
+func (c *Control) NextDue() (time.Time, bool) {
+	if c == nil || len(c.waiting) == 0 {
+		return time.Time{}, false
+	}
+	oldest := c.waiting[0].since
+	for _, w := range c.waiting[1:] {
+		if w.since.Before(oldest) {
+			oldest = w.since
+		}
+	}
+	return oldest.Add(maxWait), true
+}
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -70,6 +70,8 @@
 	NotFoundAgentsUnknown  Reason = "notFoundAgentsUnknown"
 	NotFoundAgentSilent    Reason = "notFoundAgentSilent"
 
-	LinkBusy  Reason = "linkBusy"  // new flow; the link cannot carry it in time
+	LinkQueued Reason = "linkQueued" // new flow; waits until the link can carry it
+	LinkBusy   Reason = "linkBusy"   // new flow; the link cannot carry it in time
+
 	Malformed Reason = "malformed" // the packet could not be parsed
 )
--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -17,6 +17,7 @@
 	if r.canPlaceFlows() || !r.hold(now, key, p) {
 		r.routeCallerPacket(now, key, p)
 	}
+	r.placeWaiting(now)
 	return r.actions
 }
 
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// routeOpening chooses an agent for a new flow. A retransmitted opening packet goes
-// to the same agent as the first.
+// routeOpening places a new flow, unless the link cannot carry it now. A retransmitted
+// opening packet goes to the same agent as the first.
 func (r *Router) routeOpening(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) {
 	if known := r.flows[key]; known != nil && known.sawOpening && known.openingSequence == p.Sequence {
 		known.lastActive = now
@@ -108,16 +108,24 @@
 	if o := r.pendingOpens[key]; o != nil {
 		return // Tick sends the pending opening packet to the next agent when it times out
 	}
+	if _, waiting := r.waitingOpens[key]; waiting {
+		return
+	}
 
 	svc := r.services[route.PickService(key.Hash())]
 	if svc == nil || len(svc.eligible) == 0 {
 		r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
 		return
 	}
-	if r.refuseForLink(now, key, p, route) {
+	if !r.admitToLink(now, key, p, route) {
 		return
 	}
+	r.place(now, key, p, route, svc)
+}
 
+// place sends the opening packet of a new flow to an agent of a service that has some
+// that are eligible.
+func (r *Router) place(now time.Time, key flow.Key, p *flow.Packet, route *config.Route, svc *service) {
 	chosen, direct := r.rankCandidates(now, key.Hash(), svc)
 	envelope := r.envelope(route, key, true)
 	envelope.MaybeDuplicate = p.SinceFirstSent > 0
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -92,6 +92,9 @@
 	// intake decides which new flows the link can carry; nil, which takes all, without linkRate.
 	intake *intake.Control
 
+	// waitingOpens are the opening packets of new flows that wait for room on the link.
+	waitingOpens map[flow.Key]heldPacket
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
@@ -158,6 +161,7 @@
 		balancers:      map[flow.Endpoint]bool{},
 		flows:          map[flow.Key]*flowEntry{},
 		pendingOpens:   map[flow.Key]*pendingOpen{},
+		waitingOpens:   map[flow.Key]heldPacket{},
 		searches:       map[flow.Key]*search{},
 		queries:        map[uint16]*query{},
 		formerServices: map[flow.Endpoint][]string{},
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -15,6 +15,9 @@
 			due = at
 		}
 	}
+	if at, waiting := r.intake.NextDue(); waiting && (due.IsZero() || at.Before(due)) {
+		due = at
+	}
 	return due, !due.IsZero()
 }
 
@@ -36,6 +39,7 @@
 	r.probeAbsent(now)
 	r.checkConverged(now)
 	r.routeHeld(now)
+	r.placeWaiting(now)
 	r.advanceSearches(now)
 	r.retryOpens(now, delay)
 	r.sweep(now)
