--- a/internal/coordination/intake/link_test.go
+++ b/internal/coordination/intake/link_test.go
@@ -1,10 +1,9 @@
 package intake_test
 
 import (
-	"cmp"
+	"container/heap"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/intake"
@@ -45,16 +44,36 @@
 	control   *intake.Control
 	now       time.Time
 	busyUntil time.Time
-	events    []event // sorted by time
+	events    eventHeap
+	eventSeq  int
 	lastPort  map[byte]uint16
 	waiting   map[flow.Key]*connection
 	requests  []*request
 	random    *rand.Rand
 }
 
+// event is due at a time; events at the same time are in the order of sequence.
 type event struct {
-	at time.Time
-	do func()
+	at       time.Time
+	sequence int
+	do       func()
+}
+
+// eventHeap implements heap.Interface.
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(e any)   { *h = append(*h, e.(event)) }
+
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].sequence < h[j].sequence)
+}
+
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
 }
 
 // load is a kind of requests that arrive at random.
@@ -88,17 +107,13 @@
 }
 
 func (l *link) after(delay time.Duration, do func()) {
-	at := l.now.Add(delay)
-	i, _ := slices.BinarySearchFunc(l.events, at, func(e event, at time.Time) int {
-		return cmp.Or(e.at.Compare(at), -1) // after those at the same time
-	})
-	l.events = slices.Insert(l.events, i, event{at: at, do: do})
+	l.eventSeq++
+	heap.Push(&l.events, event{at: l.now.Add(delay), sequence: l.eventSeq, do: do})
 }
 
 func (l *link) run(until time.Duration) {
 	for len(l.events) > 0 && !l.events[0].at.After(start.Add(until)) {
-		next := l.events[0]
-		l.events = l.events[1:]
+		next := heap.Pop(&l.events).(event)
 		l.now = next.at
 		next.do()
 		l.endWaits()
--- a/internal/coordination/intake/transfer.go
+++ b/internal/coordination/intake/transfer.go
@@ -124,6 +124,9 @@
 	t.setRemaining(0)
 	t.active = false
 	t.route.unfinished--
+	if t.route.unfinished == 0 {
+		t.route.outstanding = 0 // without rounding errors
+	}
 	if t.account != nil {
 		t.account.unfinished--
 	}
--- a/internal/coordination/steer/intake_test.go
+++ b/internal/coordination/steer/intake_test.go
@@ -35,9 +35,9 @@
 	return p
 }
 
-// narrowRouter returns a converged router with a link of 10 Mbit/s that has carried an
+// uploadRouter returns a converged router with a link of 10 Mbit/s that has carried an
 // upload.
-func narrowRouter(members ...roster.Member) *steer.Router {
+func uploadRouter(members ...roster.Member) *steer.Router {
 	r := steer.New(self, "a", start.Add(-time.Minute), steer.WithLinkRate(1_250_000))
 	r.Configure(newConfig(1, "svc"))
 	r.UpdateMembers(start, members)
@@ -66,7 +66,7 @@
 }
 
 func TestNewFlowsBeyondWhatTheLinkCarriesAreReset(t *testing.T) {
-	r := narrowRouter(agents("svc", 10)...)
+	r := uploadRouter(agents("svc", 10)...)
 	caller, got := open(r, 1, steer.LinkBusy)
 	want := steer.Action{Kind: steer.Reset, Reason: steer.LinkBusy, Key: openingFrom(caller).KeyFromCaller()}
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -86,7 +86,7 @@
 }
 
 func TestCopiesOfOpeningPacketsAreNotRefused(t *testing.T) {
-	r := narrowRouter(agents("svc", 10)...)
+	r := uploadRouter(agents("svc", 10)...)
 	open(r, 1, steer.LinkBusy)
 
 	placed := openingFrom(1)
@@ -102,7 +102,7 @@
 }
 
 func TestANewFlowWaitsForTheLinkAndIsPlacedOnce(t *testing.T) {
-	r := narrowRouter(agents("svc", 10)...)
+	r := uploadRouter(agents("svc", 10)...)
 	caller, got := open(r, 1, steer.LinkQueued)
 	if got.Kind != steer.Hold {
 		t.Fatalf("got %+v", got)
@@ -124,7 +124,7 @@
 }
 
 func TestAFlowThatWaitsForTheLinkForTooLongIsReset(t *testing.T) {
-	r := narrowRouter(agents("svc", 10)...)
+	r := uploadRouter(agents("svc", 10)...)
 	caller, _ := open(r, 1, steer.LinkQueued)
 	due, pending := r.NextTick()
 	if !pending || due.After(start.Add(100*time.Millisecond)) {
@@ -138,7 +138,7 @@
 }
 
 func TestWaitingFlowsOfARemovedRouteAreReset(t *testing.T) {
-	r := narrowRouter(agents("svc", 10)...)
+	r := uploadRouter(agents("svc", 10)...)
 	open(r, 1, steer.LinkQueued)
 	r.Configure(newConfig(2))
 	got := r.Tick(start.Add(100 * time.Millisecond))
