--- a/internal/coordination/intake/caller.go
+++ b/internal/coordination/intake/caller.go
@@ -32,8 +32,11 @@
 	// unfinished counts the caller's unfinished transfers that were opened here.
 	unfinished int
 
-	// nextAt is the time from which the caller is within its share again.
-	nextAt time.Time
+	// debt is the size of the transfers that the caller began, less what its share has
+	// carried up to paidAt, in bytes. It is at least that of -creditTransfers, from which
+	// it starts, and at most that of maxDebtTransfers.
+	debt   float64
+	paidAt time.Time
 }
 
 // account returns the account of a caller that asks for a heavy flow now, and removes the
@@ -59,15 +62,17 @@
 	}
 }
 
-// charge records a transfer of a size in bytes that the caller begins within its share,
-// which is in bytes per second.
-func (a *account) charge(now time.Time, size, share float64) {
-	cost := time.Duration(size / share * float64(time.Second))
-	if credit := now.Add(-creditTransfers * cost); a.nextAt.Before(credit) {
-		a.nextAt = credit
-	}
-	a.nextAt = a.nextAt.Add(cost)
-	if latest := now.Add(maxDebtTransfers * cost); a.nextAt.After(latest) {
-		a.nextAt = latest
+// pay lowers the debt by what a share in bytes per second has carried until now. size is
+// the expected size of a transfer in bytes.
+func (a *account) pay(now time.Time, share, size float64) {
+	if a.paidAt.IsZero() {
+		a.debt = -creditTransfers * size
 	}
+	a.debt = max(a.debt-share*now.Sub(a.paidAt).Seconds(), -creditTransfers*size)
+	a.paidAt = now
+}
+
+// charge adds a transfer to the debt.
+func (a *account) charge(size float64) {
+	a.debt = min(a.debt+size, maxDebtTransfers*size)
 }
--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -89,37 +89,41 @@
 	l := c.loadAhead(now, s.priority)
 	a := c.account(now, s.priority, key.Caller.IP)
 	callers := c.callers[s.priority].Len()
-	fair := l.rate / float64(callers)
-	debt := a.nextAt.Sub(now).Seconds() * fair
-	withinShare := debt <= 0 && a.unfinished*callers <= l.unfinished
-	share := 1.0
-	switch {
-	case debt > s.expected():
-		share = spareShare / 2
-	case !withinShare:
-		share = spareShare
-	}
+	a.pay(now, l.rate/float64(callers), s.expected())
 
 	verdict := Refuse
+	withinShare := a.debt <= 0 && a.unfinished*callers <= l.unfinished
 	switch {
-	case l.waiting == 0 && l.hasRoom(s, share):
+	case l.waiting == 0 && l.hasRoom(s, a.roomShare(withinShare, s.expected())):
 		verdict = Take
-	case !withinShare:
-	case l.waiting == 0 && l.inFlight == 0:
+	case l.waiting == 0 && l.inFlight == 0 && withinShare:
 		verdict = Take // too large for the link at any time
-	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s):
+	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s) && (withinShare || l.waiting == 0 && a.debt <= s.expected()):
 		verdict = Wait
 		c.enqueue(&waitingFlow{key: key, route: s, account: a, since: now})
 	}
 	if verdict == Take {
 		c.begin(now, key, s, a)
 	}
-	if verdict != Refuse && fair > 0 {
-		a.charge(now, s.expected(), fair)
+	if verdict != Refuse {
+		a.charge(s.expected())
 	}
 	return verdict
 }
 
+// roomShare returns the share of the room that the caller may use for a transfer of a size
+// in bytes.
+func (a *account) roomShare(withinShare bool, size float64) float64 {
+	switch {
+	case withinShare:
+		return 1
+	case a.debt <= size:
+		return spareShare
+	default:
+		return spareShare / 2
+	}
+}
+
 // inFlight returns the bytes that an unfinished transfer may have in flight.
 func (s *routeState) inFlight() float64 {
 	return min(window, s.expected())
--- a/internal/coordination/intake/wait.go
+++ b/internal/coordination/intake/wait.go
@@ -45,7 +45,7 @@
 	for i, w := range c.waiting {
 		if now.Sub(w.since) >= maxWait {
 			c.waiting = slices.Delete(c.waiting, i, i+1)
-			w.account.nextAt = time.Time{} // it did not get what it was charged for
+			w.account.charge(-w.route.expected()) // it did not get what it was charged for
 			return w.key, Refuse, true
 		}
 	}
