Hold callers beyond their share back only in contention

A caller with several uploads on an idle link was refused although nobody else wanted the room. Beyond its share, a caller now comes after others only for 500 ms after one within its share had to wait or was refused.

--- a/internal/coordination/intake/caller.go
+++ b/internal/coordination/intake/caller.go
@@ -11,6 +11,11 @@
 	// caller counts as competing for the link.
 	callerTTL = 2 * time.Second
 
+	// contentionPeriod is the time after a caller within its share had to wait or was
+	// refused for which callers beyond theirs come after others. It is longer than a
+	// transfer on a full link, and short beside callers' timeouts.
+	contentionPeriod = 500 * time.Millisecond
+
 	// maxCallers limits the callers that are kept per priority.
 	maxCallers = 1024
 
@@ -22,8 +27,29 @@
 	maxDebtTransfers = 3
 )
 
-// callerTable holds the callers of one priority, the latest ones last.
-type callerTable = simplelru.LRU[[4]byte, *account]
+// class is the competition of the callers of one priority.
+type class struct {
+	accounts *simplelru.LRU[[4]byte, *account] // the callers that asked latest are last
+
+	// contendedAt is when a caller within its share last had to wait or was refused.
+	contendedAt time.Time
+}
+
+// callers returns the number of callers that compete.
+func (cl *class) callers() int {
+	return cl.accounts.Len()
+}
+
+// class returns the competition of a priority.
+func (c *Control) class(priority int) *class {
+	cl := c.classes[priority]
+	if cl == nil {
+		accounts, _ := simplelru.NewLRU[[4]byte, *account](maxCallers, nil) // fails only for a size below 1
+		cl = &class{accounts: accounts}
+		c.classes[priority] = cl
+	}
+	return cl
+}
 
 // account is a caller's use of its share of the link.
 type account struct {
@@ -41,24 +67,19 @@
 
 // account returns the account of a caller that asks for a heavy flow now, and removes the
 // callers that do not compete any more.
-func (c *Control) account(now time.Time, priority int, caller [4]byte) *account {
-	table := c.callers[priority]
-	if table == nil {
-		table, _ = simplelru.NewLRU[[4]byte, *account](maxCallers, nil) // fails only for a size below 1
-		c.callers[priority] = table
-	}
-	a, found := table.Get(caller)
+func (cl *class) account(now time.Time, caller [4]byte) *account {
+	a, found := cl.accounts.Get(caller)
 	if !found {
 		a = &account{}
-		table.Add(caller, a)
+		cl.accounts.Add(caller, a)
 	}
 	a.askedAt = now
 	for {
-		_, oldest, _ := table.GetOldest() // there is one at least: this caller
+		_, oldest, _ := cl.accounts.GetOldest() // there is one at least: this caller
 		if now.Sub(oldest.askedAt) < callerTTL {
 			return a
 		}
-		table.RemoveOldest()
+		cl.accounts.RemoveOldest()
 	}
 }
 
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -34,8 +34,8 @@
 
 	transfers map[flow.Key]*transfer
 	routes    map[flow.Endpoint]*routeState
-	callers   map[int]*callerTable // by priority
-	waiting   []*waitingFlow       // by priority, then by arrival
+	classes   map[int]*class // by priority
+	waiting   []*waitingFlow // by priority, then by arrival
 	lastSweep time.Time
 }
 
@@ -50,7 +50,7 @@
 		linkShare: defaultLinkShare,
 		transfers: map[flow.Key]*transfer{},
 		routes:    map[flow.Endpoint]*routeState{},
-		callers:   map[int]*callerTable{},
+		classes:   map[int]*class{},
 	}
 	for _, apply := range options {
 		apply(c)
--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -26,7 +26,8 @@
 	// window is the most that a caller has in flight on a flow, in bytes on the link.
 	window = 16 * fullPacket
 
-	// spareShare is the share of the room that callers beyond their fair share may use.
+	// spareShare is the share of the room that callers beyond their fair share may use in
+	// contention; half of it if they are more than a transfer beyond.
 	spareShare = 0.5
 )
 
@@ -87,23 +88,34 @@
 // decide returns what becomes of a caller's new flow of a heavy route.
 func (c *Control) decide(now time.Time, key flow.Key, s *routeState) Verdict {
 	l := c.loadAhead(now, s.priority)
-	a := c.account(now, s.priority, key.Caller.IP)
-	callers := c.callers[s.priority].Len()
-	a.pay(now, l.rate/float64(callers), s.expected())
+	cl := c.class(s.priority)
+	a := cl.account(now, key.Caller.IP)
+	a.pay(now, l.rate/float64(cl.callers()), s.expected())
+
+	withinShare := a.debt <= 0 && a.unfinished*cl.callers() <= l.unfinished
+	share := 1.0
+	if !withinShare && now.Sub(cl.contendedAt) < contentionPeriod {
+		share = spareShare
+		if a.debt > s.expected() {
+			share = spareShare / 2
+		}
+	}
 
 	verdict := Refuse
-	withinShare := a.debt <= 0 && a.unfinished*callers <= l.unfinished
 	switch {
-	case l.waiting == 0 && l.hasRoom(s, a.roomShare(withinShare, s.expected())):
+	case l.waiting == 0 && l.hasRoom(s, share):
 		verdict = Take
-	case l.waiting == 0 && l.inFlight == 0 && withinShare:
+	case share < 1:
+	case l.waiting == 0 && l.inFlight == 0:
 		verdict = Take // too large for the link at any time
-	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s) && (withinShare || l.waiting == 0 && a.debt <= s.expected()):
+	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s):
 		verdict = Wait
 		c.enqueue(&waitingFlow{key: key, route: s, account: a, since: now})
 	}
 	if verdict == Take {
 		c.begin(now, key, s, a)
+	} else if withinShare {
+		cl.contendedAt = now
 	}
 	if verdict != Refuse {
 		a.charge(s.expected())
@@ -111,19 +123,6 @@
 	return verdict
 }
 
-// roomShare returns the share of the room that the caller may use for a transfer of a size
-// in bytes.
-func (a *account) roomShare(withinShare bool, size float64) float64 {
-	switch {
-	case withinShare:
-		return 1
-	case a.debt <= size:
-		return spareShare
-	default:
-		return spareShare / 2
-	}
-}
-
 // inFlight returns the bytes that an unfinished transfer may have in flight.
 func (s *routeState) inFlight() float64 {
 	return min(window, s.expected())
