--- a/internal/coordination/intake/control_test.go
+++ b/internal/coordination/intake/control_test.go
@@ -49,6 +49,15 @@
 	return c, start.Add(time.Minute)
 }
 
+// outstanding returns the outstanding bytes of all priorities.
+func outstanding(c *intake.Control) int {
+	total := 0.0
+	for _, bytes := range c.OutstandingBytes() {
+		total += bytes
+	}
+	return int(total)
+}
+
 // fill admits uploads of different callers until one is not taken, and returns how many were.
 func fill(c *intake.Control, at time.Time, route *config.Route) int {
 	for count := range 100 {
@@ -119,15 +128,15 @@
 			c, now := learned()
 			c.Admit(now, openingOf(uploads, 1, 9), uploads)
 			c.Observe(now, dataOf(uploads, 1, 9, 0, 0), uploads)
-			if got := c.OutstandingBytes(); got != 33*fullPacketSize {
+			if got := outstanding(c); got != 33*fullPacketSize {
 				t.Errorf("%d bytes are outstanding after a packet, want those of 33", got)
 			}
 			now = end(c, now)
-			if got := c.OutstandingBytes(); got != 0 {
+			if got := outstanding(c); got != 0 {
 				t.Errorf("%d bytes are outstanding after the end", got)
 			}
 			c.Observe(now, packetOf(uploads, 1, 9, func(p *flow.Packet) { p.Ack, p.Acknowledged = true, 301 }), uploads)
-			if got := c.OutstandingBytes(); got != 0 {
+			if got := outstanding(c); got != 0 {
 				t.Errorf("%d bytes are outstanding after a late acknowledgement", got)
 			}
 		})
@@ -160,7 +169,7 @@
 				}
 				c.Observe(now, p, route)
 			}
-			if diff := cmp.Diff(test.want, c.OutstandingBytes()/fullPacketSize); diff != "" {
+			if diff := cmp.Diff(test.want, outstanding(c)/fullPacketSize); diff != "" {
 				t.Error(diff)
 			}
 		})
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -136,19 +136,20 @@
 	}
 }
 
-// OutstandingBytes returns how many bytes of unfinished transfers of heavy routes are
-// still expected.
-func (c *Control) OutstandingBytes() int {
+// OutstandingBytes returns, for each priority of the routes that flows had, how many bytes
+// of unfinished transfers of heavy routes are still expected.
+func (c *Control) OutstandingBytes() map[int]float64 {
 	if c == nil {
-		return 0
+		return nil
 	}
-	total := 0.0
+	outstanding := map[int]float64{}
 	for _, s := range c.routes {
+		outstanding[s.priority] += 0
 		if s.isHeavy() {
-			total += s.outstanding
+			outstanding[s.priority] += s.outstanding
 		}
 	}
-	return int(total)
+	return outstanding
 }
 
 // sweep removes silent transfers, at most once per sweepInterval.
--- a/internal/coordination/intake/wait_test.go
+++ b/internal/coordination/intake/wait_test.go
@@ -115,7 +115,7 @@
 		t.Errorf("%v waits", key)
 	}
 	c.Forget(openingOf(uploads, 1, 1).KeyFromCaller())
-	if got := c.OutstandingBytes(); got != 0 {
+	if got := outstanding(c); got != 0 {
 		t.Errorf("%d bytes are outstanding", got)
 	}
 }
@@ -126,7 +126,7 @@
 	for i := range 40_000 {
 		c.Observe(now, dataOf(uploads, byte(i>>14), uint16(i), 5, 0), uploads)
 	}
-	if got, limit := c.OutstandingBytes(), 8192*34*fullPacketSize; got > limit {
+	if got, limit := outstanding(c), 8192*34*fullPacketSize; got > limit {
 		t.Errorf("%d bytes are outstanding, more than of 8,192 transfers", got)
 	}
 	if got := c.Admit(now.Add(2*time.Second), openingOf(uploads, 1, 1), uploads); got != intake.Take {
--- a/internal/coordination/steer/intake.go
+++ b/internal/coordination/steer/intake.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// OutstandingBytes returns how many bytes of unfinished uploads are still expected, 0 if
-// the rate of the link is not known.
-func (r *Router) OutstandingBytes() int {
+// OutstandingBytes returns how many bytes of unfinished uploads are still expected by the
+// priority of their route; nil if the rate of the link is not known.
+func (r *Router) OutstandingBytes() map[int]float64 {
 	return r.intake.OutstandingBytes()
 }
--- a/internal/coordination/steer/intake_test.go
+++ b/internal/coordination/steer/intake_test.go
@@ -72,8 +72,8 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
-	if r.OutstandingBytes() == 0 {
-		t.Error("no bytes are outstanding")
+	if outstanding := r.OutstandingBytes(); outstanding[0] == 0 {
+		t.Errorf("%v bytes are outstanding", outstanding)
 	}
 	for _, a := range r.Tick(start.Add(time.Second)) {
 		if a.Key == want.Key && a.Kind == steer.Send {
@@ -155,7 +155,7 @@
 	if caller, got := open(r, 1, steer.LinkBusy); caller != 0 {
 		t.Errorf("got %+v", got)
 	}
-	if got := r.OutstandingBytes(); got != 0 {
-		t.Errorf("%d bytes are outstanding", got)
+	if got := r.OutstandingBytes(); len(got) > 0 {
+		t.Errorf("%v bytes are outstanding", got)
 	}
 }
--- a/internal/transport/fwbal/act.go
+++ b/internal/transport/fwbal/act.go
@@ -79,7 +79,7 @@
 		fields = append(fields, "silent", a.To)
 	}
 	if a.Reason == steer.LinkBusy {
-		fields = append(fields, "priority", a.Priority, "outstandingBytes", b.router.OutstandingBytes())
+		fields = append(fields, "priority", a.Priority, "outstandingBytes", int(b.router.OutstandingBytes()[a.Priority]))
 	}
 	b.log.Info("flow not routed", fields...)
 }
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -221,7 +222,9 @@
 	now := time.Now()
 	b.perform(now, link.Data, b.router.Tick(now))
 	b.metrics.Connections.Set(float64(b.router.FlowCount()))
-	b.metrics.OutstandingBytes.Set(float64(b.router.OutstandingBytes()))
+	for priority, bytes := range b.router.OutstandingBytes() {
+		b.metrics.LinkOutstanding.WithLabelValues(strconv.Itoa(priority)).Set(bytes)
+	}
 	if b.router.Converged() && !b.converged {
 		b.converged = true
 		b.log.Info("all agents are known", "agents", b.router.EligibleAgentCount(), "agreed", synced, "gone", b.router.GoneCount())
--- a/internal/transport/metric/metric.go
+++ b/internal/transport/metric/metric.go
@@ -71,11 +71,11 @@
 	// Connections is the number of open flows.
 	Connections prometheus.Gauge
 
-	// OutstandingBytes is the number of bytes of unfinished uploads that a balancer's link
-	// still has to carry; LinkRefusals counts the flows refused for it by the priority of
-	// their route. Both stay 0 where the rate of the link is not known.
-	OutstandingBytes prometheus.Gauge
-	LinkRefusals     *prometheus.CounterVec
+	// LinkOutstanding is the number of bytes of unfinished uploads that a balancer's link
+	// still has to carry, LinkRefusals the number of flows refused for it, both by the
+	// priority of their route. They have no series where the rate of the link is not known.
+	LinkOutstanding *prometheus.GaugeVec
+	LinkRefusals    *prometheus.CounterVec
 }
 
 // New returns a Set in a registry of its own.
@@ -106,7 +106,10 @@
 	s.SlotLimit = s.gauge("slot_limit", "Requests that the upstream may run at once now.")
 	s.SlotsUsed = s.gauge("slots_used", "Requests that the upstream runs.")
 	s.Connections = s.gauge("connections", "Open flows.")
-	s.OutstandingBytes = s.gauge("outstanding_bytes", "Bytes of unfinished uploads that the link still has to carry.")
+	s.LinkOutstanding = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "link_outstanding_bytes", Help: "Bytes of unfinished uploads that the link still has to carry.",
+	}, []string{"priority"})
+	s.registry.MustRegister(s.LinkOutstanding)
 	s.LinkRefusals = s.counter("link_refusals_total", "New flows refused because the link cannot carry them in time.", "priority")
 	return s
 }
