Uploads hold no slot while they arrive

Cause: an agent counted a flow as a running request from its opening packet to the first data of the answer. An upload of 40 KB over an entry VM with a link of 10 Mbit/s arrives for seconds and runs for 5 ms; it held one of 4 slots for all that time, and its service time included its arrival.

A slot is taken once all is there.

Change: the agent tracks which data of a request has come, by sequence numbers. A request is complete when there is no gap and the last packet is shorter than a full one. Until then it counts as arriving, with the part of its time for which it will run (Little), and with 16 for each slot at most. Service times begin with the last data. Requests whose callers leave before all is there are no failure of the upstream.

--- a/internal/coordination/owner/action.go
+++ b/internal/coordination/owner/action.go
@@ -52,7 +52,7 @@
 	// Sequence is the sequence number of a reset.
 	Sequence uint32
 
-	// Load is the number of requests at the upstream.
+	// Load is the number of requests at the upstream by which flows are admitted.
 	Load int
 }
 
@@ -88,8 +88,12 @@
 
 // Completion describes a request that ended, as seen from its packets.
 type Completion struct {
-	Key      flow.Key
-	Kind     config.Kind
-	Duration time.Duration
-	Outcome  Outcome
+	Key  flow.Key
+	Kind config.Kind
+
+	// Arrival is the time from the first to the last data of the request, Duration that
+	// from its last data to its end.
+	Arrival, Duration time.Duration
+
+	Outcome Outcome
 }
--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -65,7 +65,7 @@
 // loadPercent returns the requests and waiting flows per 100 slots, by which full
 // agents are compared.
 func (o *Owner) loadPercent() uint16 {
-	return uint16(min(100*(o.requests+o.backlog.Len())/o.slots(), 1<<16-1))
+	return uint16(min(100*(o.load()+o.backlog.Len())/o.slots(), 1<<16-1))
 }
 
 // enqueue adds a flow to the backlog. If the flow would wait too long, it replaces a
@@ -75,7 +75,7 @@
 		o.backlogEmptyAt = now
 	}
 	priority, objective := o.priorityAndObjective(key)
-	if o.expectedWait(priority) > o.maxExpectedWait(now, objective) {
+	if o.expectedWait(key, priority) > o.maxExpectedWait(now, objective) {
 		evicted, ok := o.backlog.Evict(now, priority)
 		if !ok {
 			o.forwardOrRefuse(now, key, e, p.Raw, Overloaded)
@@ -90,7 +90,7 @@
 		Key: key, Priority: priority, FirstSent: firstSent, OpenDeadline: firstSent.Add(o.openWithin(objective)), GiveUpAt: firstSent.Add(o.openTimeout(key)),
 		Sequence: p.Sequence, Packet: slices.Clone(p.Raw), Envelope: *e,
 	})
-	o.actions = append(o.actions, Action{Kind: Hold, Reason: Queued, Key: key, Load: o.requests})
+	o.actions = append(o.actions, Action{Kind: Hold, Reason: Queued, Key: key, Load: o.load()})
 	o.notifyBalancer(now, key, e, false)
 }
 
@@ -117,7 +117,7 @@
 	if o.resuming(now) {
 		return
 	}
-	for o.backlog.Len() > 0 && o.requests < o.maxRequests() {
+	for o.backlog.Len() > 0 && o.load() < o.maxRequests() {
 		if now.Before(o.coldUntil) && (o.cfg.Revision == 0 || !o.ramp.admit(now)) {
 			return
 		}
--- /dev/null
+++ b/internal/coordination/owner/arrival.go
@@ -0,0 +1,191 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+// Requests of many packets take long to arrive over narrow links. An upstream runs a
+// request once all of it is there, so that one which still arrives takes no slot yet.
+const (
+	// maxArrivingPerSlot limits the requests that arrive at a time, per slot.
+	maxArrivingPerSlot = 16
+
+	// runningWeight is what a request counts that arrives in no time.
+	runningWeight = 1000
+
+	// quietTimeout is the time without new data after which a request counts as complete
+	// if everything that arrived is acknowledged. Callers that have more to send repeat
+	// it after 200 and 600 ms.
+	quietTimeout = 650 * time.Millisecond
+
+	// callerSilence is the time without new data after which an arriving request is no
+	// longer counted. Callers repeat data after 1.6 s at the latest.
+	callerSilence = 2 * time.Second
+
+	// arrivalInterval is the time between two ticks while requests arrive.
+	arrivalInterval = 200 * time.Millisecond
+
+	// arrivalSmoothing is the divisor of the moving average of arrival times: a new one
+	// has the weight 1/arrivalSmoothing.
+	arrivalSmoothing = 16
+)
+
+// countState says how a flow counts against the upstream's slots.
+type countState uint8
+
+const (
+	// notCounted flows have no request.
+	notCounted countState = iota
+	// running flows have a request that the upstream runs or is about to get.
+	running
+	// arriving flows have a request whose data still arrives.
+	arriving
+)
+
+// routeArrivals describes how the requests of a route arrive.
+type routeArrivals struct {
+	// mean is the moving average of the time from the first to the last data of a request.
+	mean    time.Duration
+	sampled bool
+
+	// segment is the length in bytes of the longest packet that more data of the same
+	// request followed; 0 if there was none.
+	segment int
+}
+
+func (r *routeArrivals) record(sample time.Duration) {
+	if !r.sampled {
+		r.mean, r.sampled = sample, true
+		return
+	}
+	r.mean += (sample - r.mean) / arrivalSmoothing
+}
+
+// arrivalsOf returns how the requests of a flow's route arrive. Records are kept for the
+// routes of the configuration only.
+func (o *Owner) arrivalsOf(key flow.Key) *routeArrivals {
+	known := o.arrivals[key.Service]
+	if known == nil {
+		known = &routeArrivals{}
+		if o.routes[key.Service] != nil {
+			o.arrivals[key.Service] = known
+		}
+	}
+	return known
+}
+
+// setCount changes how a flow counts.
+func (o *Owner) setCount(key flow.Key, e *entry, state countState) {
+	if e.counts == state {
+		return
+	}
+	switch e.counts {
+	case running:
+		o.requests--
+	case arriving:
+		delete(o.arriving, key)
+	}
+	switch state {
+	case running:
+		o.requests++
+	case arriving:
+		o.arriving[key] = e
+	}
+	e.counts = state
+	o.setWeight(key, e)
+}
+
+// setWeight sets what a flow counts over the whole time of its request: by Little's law,
+// the part of that time for which the request runs. It is known from the moment at which
+// the request begins to arrive.
+func (o *Owner) setWeight(key flow.Key, e *entry) {
+	previous := e.weight
+	switch e.counts {
+	case notCounted:
+		e.weight = 0
+	case running:
+		if e.weight == 0 {
+			e.weight = runningWeight
+		}
+	case arriving:
+		work := o.serviceTime()
+		e.weight = max(1, int(runningWeight*work/(work+o.arrivalsOf(key).mean)))
+	}
+	o.weight += e.weight - previous
+}
+
+// load returns the number of requests at the upstream by which flows are admitted: those
+// that run now, or those that are expected to run at a time, if that is more.
+func (o *Owner) load() int {
+	load := max(o.requests, (o.weight+runningWeight/2)/runningWeight)
+	if o.arrivingLimited() {
+		return max(load, o.maxRequests())
+	}
+	return load
+}
+
+func (o *Owner) arrivingLimited() bool {
+	return len(o.arriving) >= maxArrivingPerSlot*o.slots()
+}
+
+// countOpening counts a new flow. Where requests take longer to arrive than to run, it
+// counts as arriving.
+func (o *Owner) countOpening(key flow.Key, e *entry) {
+	if o.arrivalsOf(key).mean > o.serviceTime() {
+		o.setCount(key, e, arriving)
+		return
+	}
+	o.setCount(key, e, running)
+}
+
+// trackRequest updates a flow from the data of a caller's packet.
+func (o *Owner) trackRequest(now time.Time, key flow.Key, e *entry, p *flow.Packet) {
+	isNew, advanced := e.stream.receive(p.Sequence, p.DataLength)
+	if !isNew {
+		return
+	}
+	if advanced {
+		e.lastDataAt = now
+	}
+	route := o.arrivalsOf(key)
+	route.segment = max(route.segment, e.stream.segment)
+	complete := e.stream.complete(route.segment)
+	if e.stream.answered {
+		if complete {
+			e.stream.endRequest()
+		}
+		return
+	}
+	if e.upstreamFin {
+		return // the upstream answers no more
+	}
+	if !e.requestPending {
+		e.requestPending = true
+		e.requestSentAt, e.lastDataAt = now, now
+	}
+	if complete {
+		o.setCount(key, e, running)
+	} else {
+		o.setCount(key, e, arriving)
+	}
+}
+
+// checkArriving counts those arriving requests as running that seem to be complete, and
+// stops counting those whose callers seem to have left.
+func (o *Owner) checkArriving(now time.Time) {
+	for key, e := range o.arriving {
+		lastDataAt := e.lastDataAt
+		if lastDataAt.IsZero() {
+			lastDataAt = e.openedAt
+		}
+		acknowledged := e.requestPending && !e.stream.hasGap() && e.upstreamAck == e.stream.end
+		switch silent := now.Sub(lastDataAt); {
+		case acknowledged && silent >= quietTimeout:
+			o.setCount(key, e, running)
+		case silent >= callerSilence:
+			o.setCount(key, e, notCounted)
+		}
+	}
+}
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -26,20 +26,25 @@
 	open          bool
 	predatesAgent bool
 
-	// callerAck is the last acknowledgement of the caller. callerNext, valid if
-	// callerSentData, is the sequence number after the last data it sent.
-	callerAck      uint32
-	callerNext     uint32
-	callerSentData bool
-
-	// countsAsRequest says that the flow is counted in Owner.requests: its request
-	// is expected, or awaits its answer.
-	countsAsRequest bool
-	requestSentAt   time.Time
-	requestPending  bool
-	callerFin       bool
-	upstreamFin     bool
-	wasReset        bool
+	// callerAck is the last acknowledgement of the caller, upstreamAck that of the upstream.
+	callerAck   uint32
+	upstreamAck uint32
+
+	// counts says how the flow counts against the slots: its request is expected,
+	// arrives, or awaits its answer. weight is its part of Owner.weight.
+	counts countState
+	weight int
+
+	// stream is the data of the caller. While a request is pending, requestSentAt is when
+	// its first data arrived; lastDataAt is when the data without a gap last became longer.
+	stream         stream
+	requestSentAt  time.Time
+	lastDataAt     time.Time
+	requestPending bool
+
+	callerFin   bool
+	upstreamFin bool
+	wasReset    bool
 
 	// countsAsConnection says that the flow is counted in Owner.connections.
 	countsAsConnection bool
@@ -63,20 +68,6 @@
 	return !p.Ack || p.Acknowledged-e.upstreamStart <= e.upstreamSent
 }
 
-func (o *Owner) countRequest(e *entry) {
-	if !e.countsAsRequest {
-		e.countsAsRequest = true
-		o.requests++
-	}
-}
-
-func (o *Owner) uncountRequest(e *entry) {
-	if e.countsAsRequest {
-		e.countsAsRequest = false
-		o.requests--
-	}
-}
-
 // addFlow adds a flow to the table and counts it as a connection.
 func (o *Owner) addFlow(key flow.Key, e *entry) {
 	e.countsAsConnection = true
@@ -86,8 +77,8 @@
 
 // uncountFlow stops counting a flow as a request and a connection. The flow may stay
 // in the table for late packets.
-func (o *Owner) uncountFlow(e *entry) {
-	o.uncountRequest(e)
+func (o *Owner) uncountFlow(key flow.Key, e *entry) {
+	o.setCount(key, e, notCounted)
 	if e.countsAsConnection {
 		e.countsAsConnection = false
 		o.connections--
@@ -96,7 +87,7 @@
 
 // removeFlow removes a flow from the counts and the table.
 func (o *Owner) removeFlow(key flow.Key, e *entry) {
-	o.uncountFlow(e)
+	o.uncountFlow(key, e)
 	delete(o.handshakes, key)
 	delete(o.flows, key)
 }
@@ -111,14 +102,8 @@
 	if p.Ack {
 		e.callerAck = p.Acknowledged
 	}
-	if next := p.Sequence + uint32(p.DataLength); p.DataLength > 0 && (!e.callerSentData || int32(next-e.callerNext) > 0) {
-		e.callerSentData = true
-		e.callerNext = next
-		if !e.requestPending {
-			e.requestPending = true
-			e.requestSentAt = now
-		}
-		o.countRequest(e)
+	if p.DataLength > 0 {
+		o.trackRequest(now, key, e, p)
 	}
 	if p.Finish {
 		e.callerFin = true
@@ -128,7 +113,7 @@
 		e.requestPending = false // the caller gave up, which is no failure of the upstream
 	}
 	if e.closed() {
-		o.uncountFlow(e)
+		o.uncountFlow(key, e)
 	}
 }
 
@@ -144,6 +129,9 @@
 // trackUpstreamPacket updates a flow from an upstream's packet that is sent to the caller.
 func (o *Owner) trackUpstreamPacket(now time.Time, key flow.Key, e *entry, p *flow.Packet) {
 	e.lastPacketAt = now
+	if p.Ack {
+		e.upstreamAck = p.Acknowledged
+	}
 	if p.Open && p.Ack {
 		e.upstreamStart = p.Sequence
 		e.answered = true
@@ -165,7 +153,7 @@
 		e.wasReset = true
 	}
 	if e.closed() {
-		o.uncountFlow(e)
+		o.uncountFlow(key, e)
 	}
 }
 
@@ -181,12 +169,14 @@
 	e.upstreamSent = max(e.upstreamSent, sent)
 }
 
-// NextTick returns when Tick is due next; false if no flow is in its handshake and the
-// backlog is empty.
+// NextTick returns when Tick is due next; false if no flow is in its handshake, no request
+// arrives and the backlog is empty.
 func (o *Owner) NextTick() (time.Time, bool) {
 	var due time.Time
 	if o.backlog.Len() > 0 {
 		due = o.lastTick.Add(backlogInterval)
+	} else if len(o.arriving) > 0 {
+		due = o.lastTick.Add(arrivalInterval)
 	}
 	for _, e := range o.handshakes {
 		if at := e.openedAt.Add(handshakeTimeout); due.IsZero() || at.Before(due) {
@@ -209,7 +199,7 @@
 		}
 		if e.answered {
 			delete(o.handshakes, key)
-			o.uncountRequest(e) // the caller has given up
+			o.setCount(key, e, notCounted) // the caller has given up
 			continue
 		}
 		o.failedOpenings++
@@ -221,6 +211,7 @@
 		o.resetCaller(w.Key, 0, Expired)
 		o.notifyBalancer(now, w.Key, &w.Envelope, true)
 	}
+	o.checkArriving(now)
 	o.sweep(now)
 	o.openWaiting(now)
 	return o.actions
@@ -237,7 +228,11 @@
 	}
 	for key, e := range o.flows {
 		if o.requestOverdue(now, key, e) {
-			o.completeRequest(now, key, e, Unanswered)
+			outcome := Unanswered
+			if !e.stream.complete(o.arrivalsOf(key).segment) {
+				outcome = Incomplete
+			}
+			o.completeRequest(now, key, e, outcome)
 		}
 		idle := now.Sub(e.lastPacketAt)
 		if idle > flowIdleTimeout || (idle > closedFlowRetention && (e.closed() || !e.open)) {
--- a/internal/coordination/owner/fault.go
+++ b/internal/coordination/owner/fault.go
@@ -29,6 +29,7 @@
 	Answered        Outcome = "answered"
 	ResetByUpstream Outcome = "reset"      // by the upstream, before any answer
 	Unanswered      Outcome = "unanswered" // within the route's timeout
+	Incomplete      Outcome = "incomplete" // not all of its data arrived within the route's timeout
 )
 
 // failureRate is a moving average of the share of requests, from 0 to 1, that the
@@ -62,18 +63,23 @@
 
 // completeRequest records the outcome of a flow's pending request, if it has one.
 func (o *Owner) completeRequest(now time.Time, key flow.Key, e *entry, outcome Outcome) {
-	o.uncountRequest(e)
+	o.setCount(key, e, notCounted)
 	if !e.requestPending {
 		return
 	}
 	e.requestPending = false
-	o.failureRate.record(now, outcome != Answered)
-	done := Completion{Key: key, Duration: now.Sub(e.requestSentAt), Outcome: outcome}
+	hadGap := e.stream.hasGap()
+	e.stream.endRequest()
+	if outcome != Incomplete {
+		o.failureRate.record(now, outcome != Answered)
+	}
+	done := Completion{Key: key, Duration: now.Sub(e.lastDataAt), Arrival: e.lastDataAt.Sub(e.requestSentAt), Outcome: outcome}
 	if route := o.routes[key.Service]; route != nil {
 		done.Kind = route.Kind
 	}
 	o.completions = append(o.completions, done)
-	if outcome == Answered {
+	if outcome == Answered && !hadGap {
+		o.arrivalsOf(key).record(done.Arrival)
 		o.meanServiceTime += (done.Duration - o.meanServiceTime) / serviceTimeSmoothing
 	}
 }
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -42,10 +42,13 @@
 
 // deliverOpening adds a flow and delivers its opening packet to the upstream.
 func (o *Owner) deliverOpening(now time.Time, key flow.Key, sequence uint32, packet []byte, e *fwdmsg.Envelope) {
-	known := &entry{openedAt: now, lastPacketAt: now, callerStart: sequence, packet: slices.Clone(packet), envelope: *e}
+	known := &entry{
+		openedAt: now, lastPacketAt: now, callerStart: sequence, packet: slices.Clone(packet), envelope: *e,
+		stream: stream{next: sequence + 1, end: sequence + 1, known: true},
+	}
 	o.addFlow(key, known)
 	o.handshakes[key] = known
-	o.countRequest(known)
+	o.countOpening(key, known)
 	o.deliver(key, packet, 0, Opened)
 }
 
@@ -63,7 +66,7 @@
 	if o.failedOpenings >= silentThreshold {
 		return UpstreamSilent
 	}
-	if o.requests >= o.admissionLimit(e) || o.backlog.Len() > 0 {
+	if o.load() >= o.admissionLimit(e) || o.backlog.Len() > 0 {
 		return Full
 	}
 	if !now.Before(o.coldUntil) {
@@ -114,13 +117,13 @@
 func (o *Owner) forwardOrRefuse(now time.Time, key flow.Key, e *fwdmsg.Envelope, packet []byte, reason Reason) {
 	if next, ok := e.PopRank(); ok {
 		o.actions = append(o.actions, Action{
-			Kind: Forward, Reason: reason, Key: key, To: next, Envelope: *e, Packet: packet, Load: o.requests,
+			Kind: Forward, Reason: reason, Key: key, To: next, Envelope: *e, Packet: packet, Load: o.load(),
 		})
 		return
 	}
 
 	if e.MaybeDuplicate || o.callerShouldRetry(now, reason) {
-		o.actions = append(o.actions, Action{Kind: Drop, Reason: reason, Key: key, Load: o.requests})
+		o.actions = append(o.actions, Action{Kind: Drop, Reason: reason, Key: key, Load: o.load()})
 		if reason == Overloaded {
 			o.notifyBalancer(now, key, e, true) // keeps the balancer from trying further agents, which would add load
 		}
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -40,7 +40,7 @@
 	// sweepInterval is the time between two passes that remove old flows and offers.
 	sweepInterval = time.Second
 
-	// maxFlows is the largest number of flows in the table. Each takes about 200 bytes.
+	// maxFlows is the largest number of flows in the table. Each takes about 430 bytes.
 	maxFlows = 16384
 
 	// silentThreshold is the number of consecutive opening packets, each unanswered
@@ -82,12 +82,16 @@
 	handshakes map[flow.Key]*entry // the flows whose handshake is not complete
 	requests   int                 // flows whose request the upstream runs, or is about to get
 
+	arriving map[flow.Key]*entry // flows whose request still arrives
+	weight   int                 // the sum of the weights of running and arriving flows
+	arrivals map[flow.Endpoint]*routeArrivals
+
 	connections int // flows at the upstream that are not closed
 
 	failedOpenings      int // consecutive opening packets that were unanswered or bounced
 	backlog             queue.Backlog
 	backlogEmptyAt      time.Time     // when the backlog was last known to be empty
-	meanServiceTime     time.Duration // moving average of the time from a request to its answer
+	meanServiceTime     time.Duration // moving average of the time from the last data of a request to its answer
 	meanHandshake       time.Duration // moving average of the time of a handshake
 	failureRate         failureRate
 	offers              offers
@@ -110,6 +114,8 @@
 		routes:      map[flow.Endpoint]*config.Route{},
 		flows:       map[flow.Key]*entry{},
 		handshakes:  map[flow.Key]*entry{},
+		arriving:    map[flow.Key]*entry{},
+		arrivals:    map[flow.Endpoint]*routeArrivals{},
 		offers:      offers{byTag: map[uint32]offer{}, byKey: map[flow.Key]uint32{}},
 	}
 }
@@ -129,6 +135,11 @@
 	for i := range cfg.Routes {
 		o.routes[flow.EndpointOf(cfg.Routes[i].Address)] = &cfg.Routes[i]
 	}
+	for address := range o.arrivals {
+		if o.routes[address] == nil {
+			delete(o.arrivals, address)
+		}
+	}
 	for key, e := range o.flows {
 		if o.routes[key.Service] == nil {
 			o.removeFlow(key, e)
@@ -152,12 +163,18 @@
 }
 
 func (o *Owner) resetCaller(key flow.Key, sequence uint32, reason Reason) {
-	o.actions = append(o.actions, Action{Kind: Reset, Reason: reason, Key: key, Sequence: sequence, Load: o.requests})
+	o.actions = append(o.actions, Action{Kind: Reset, Reason: reason, Key: key, Sequence: sequence, Load: o.load()})
 }
 
-// RequestCount returns the number of requests that the upstream runs or is about to get.
+// RequestCount returns the number of requests that the upstream runs or is about to get,
+// those included whose data still arrives.
 func (o *Owner) RequestCount() int {
-	return o.requests
+	return o.requests + len(o.arriving)
+}
+
+// ArrivingCount returns the number of requests whose data still arrives.
+func (o *Owner) ArrivingCount() int {
+	return len(o.arriving)
 }
 
 // FlowCount returns the number of flows in the table, closed ones included.
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -122,7 +122,7 @@
 }
 
 func (o *Owner) deliver(key flow.Key, packet []byte, tag uint32, reason Reason) {
-	o.actions = append(o.actions, Action{Kind: Deliver, Reason: reason, Key: key, Packet: packet, Tag: tag, Load: o.requests})
+	o.actions = append(o.actions, Action{Kind: Deliver, Reason: reason, Key: key, Packet: packet, Tag: tag, Load: o.load()})
 }
 
 // notifyBalancer sends the balancer, if it is known, a notice that says whether this
@@ -142,7 +142,7 @@
 			Balancer:          e.Balancer,
 			Agent:             o.settings.Self,
 			Refused:           refused,
-			Load:              uint16(min(o.requests+o.backlog.Len(), 1<<16-1)),
+			Load:              uint16(min(o.load()+o.backlog.Len(), 1<<16-1)),
 			Slots:             uint16(min(o.slots(), 1<<16-1)),
 			MeanDuration:      uint16(min(o.meanServiceTime.Microseconds()/100, 1<<16-1)),
 			UnansweredPercent: o.failureRate.percent(now),
--- a/internal/coordination/owner/wait.go
+++ b/internal/coordination/owner/wait.go
@@ -40,9 +40,13 @@
 )
 
 // expectedWait returns how long a new flow of a priority would wait if all were served
-// in order.
-func (o *Owner) expectedWait(priority int) time.Duration {
-	return o.serviceTime() * time.Duration(o.backlog.CountAhead(priority)+1) / time.Duration(o.slots())
+// in order. While no more requests may arrive, the time until one has arrived counts too.
+func (o *Owner) expectedWait(key flow.Key, priority int) time.Duration {
+	interval := o.serviceTime() / time.Duration(o.slots())
+	if o.arrivingLimited() {
+		interval = max(interval, o.arrivalsOf(key).mean/time.Duration(len(o.arriving)))
+	}
+	return interval * time.Duration(o.backlog.CountAhead(priority)+1)
 }
 
 // maxExpectedWait returns the limit of the expected wait for a flow with an objective;
--- a/internal/transport/fwagt/follow.go
+++ b/internal/transport/fwagt/follow.go
@@ -45,7 +45,8 @@
 		a.nextTick = time.Time{}
 		a.perform(a.owner.Tick(time.Now()))
 		a.metrics.Connections.Set(float64(a.owner.FlowCount()))
-		a.metrics.SlotsUsed.Set(float64(a.owner.RequestCount()))
+		a.metrics.SlotsUsed.Set(float64(a.owner.RequestCount() - a.owner.ArrivingCount()))
+		a.metrics.Arriving.Set(float64(a.owner.ArrivingCount()))
 		a.updateWeight()
 		if a.nextTick.IsZero() {
 			a.timer.Reset(idleTickInterval)
--- a/internal/transport/metric/metric.go
+++ b/internal/transport/metric/metric.go
@@ -68,6 +68,9 @@
 	// SlotsUsed is the number of requests that the upstream is running.
 	SlotsUsed prometheus.Gauge
 
+	// Arriving is the number of requests whose data still arrives.
+	Arriving prometheus.Gauge
+
 	// Connections is the number of open flows.
 	Connections prometheus.Gauge
 }
@@ -99,6 +102,7 @@
 	s.Members = s.gauge("members", "Known members that are not dead.")
 	s.SlotLimit = s.gauge("slot_limit", "Requests that the upstream may run at once now.")
 	s.SlotsUsed = s.gauge("slots_used", "Requests that the upstream runs.")
+	s.Arriving = s.gauge("requests_arriving", "Requests whose data still arrives.")
 	s.Connections = s.gauge("connections", "Open flows.")
 	return s
 }
