--- a/internal/transport/fwagt/follow.go
+++ b/internal/transport/fwagt/follow.go
@@ -47,7 +47,8 @@
 		now := time.Now()
 		a.perform(now, a.owner.Tick(now))
 		a.metrics.Connections.Set(float64(a.owner.FlowCount()))
-		a.metrics.SlotsUsed.Set(float64(a.owner.RequestCount()))
+		a.metrics.SlotsUsed.Set(float64(a.owner.RequestCount() - a.owner.ArrivingCount()))
+		a.metrics.Arriving.Set(float64(a.owner.ArrivingCount()))
 		a.updateWeight()
 		if a.nextTick.IsZero() {
 			a.timer.Reset(idleTickInterval)
