--- a/internal/coordination/model/world_test.go
+++ b/internal/coordination/model/world_test.go
@@ -331,7 +331,7 @@
 	binary.BigEndian.PutUint32(raw[12:], p.Sequence)
 	binary.BigEndian.PutUint32(raw[16:], p.Acknowledged)
 	binary.BigEndian.PutUint32(raw[20:], p.Tag)
-	raw[24] = byte(p.DataLength)
+	raw[24], raw[30] = byte(p.DataLength), byte(p.DataLength>>8)
 	for i, set := range []bool{p.Open, p.Ack, p.Finish, p.Reset, p.Bounced} {
 		if set {
 			raw[25+i] = 1
@@ -345,7 +345,7 @@
 	return flow.Packet{
 		Source: key.Caller, Destination: key.Service,
 		Sequence: binary.BigEndian.Uint32(raw[12:]), Acknowledged: binary.BigEndian.Uint32(raw[16:]),
-		Tag: binary.BigEndian.Uint32(raw[20:]), DataLength: int(raw[24]),
+		Tag: binary.BigEndian.Uint32(raw[20:]), DataLength: int(raw[24]) | int(raw[30])<<8,
 		Open: raw[25] == 1, Ack: raw[26] == 1, Finish: raw[27] == 1, Reset: raw[28] == 1, Bounced: raw[29] == 1,
 		Raw: raw,
 	}, nil
