--- a/internal/coordination/model/narrow_test.go
+++ b/internal/coordination/model/narrow_test.go
@@ -44,6 +44,9 @@
 	// load is what callers send as a fraction of the rate of all links.
 	load float64
 
+	// withoutUploads leaves out the uploads of the callers.
+	withoutUploads bool
+
 	triggers []trigger
 	duration time.Duration
 }
