--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -17,6 +17,7 @@
 	if r.canPlaceFlows() || !r.hold(now, key, p) {
 		r.routeCallerPacket(now, key, p)
 	}
+	r.placeWaiting(now)
 	return r.actions
 }
 
@@ -28,6 +29,7 @@
 	case p.IsOpening():
 		r.routeOpening(now, key, p, route)
 	default:
+		r.intake.Observe(now, p, route)
 		r.routeEstablished(now, key, p, route)
 	}
 }
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/intake"
 	"github.com/coriandershift/coriandershift/internal/coordination/pick"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -88,6 +89,12 @@
 
 	observeRoundTrip func(now time.Time, d time.Duration) // may be nil
 
+	// intake decides which new flows the link can carry; nil, which takes all, without linkRate.
+	intake *intake.Control
+
+	// waitingOpens are the opening packets of new flows that wait for room on the link.
+	waitingOpens map[flow.Key]heldPacket
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
@@ -154,6 +161,7 @@
 		balancers:      map[flow.Endpoint]bool{},
 		flows:          map[flow.Key]*flowEntry{},
 		pendingOpens:   map[flow.Key]*pendingOpen{},
+		waitingOpens:   map[flow.Key]heldPacket{},
 		searches:       map[flow.Key]*search{},
 		queries:        map[uint16]*query{},
 		formerServices: map[flow.Endpoint][]string{},
@@ -161,6 +169,7 @@
 	for _, apply := range options {
 		apply(r)
 	}
+	r.intake = intake.New(r.linkRate)
 	return r
 }
 
