--- a/internal/protocol/fwdmsg/fwdmsg.go
+++ b/internal/protocol/fwdmsg/fwdmsg.go
@@ -47,6 +47,11 @@
 	Query Kind = 19
 	// QueryReply answers a Query. The payload is one HeldStatus byte for each question.
 	QueryReply Kind = 20
+	// DelegatedQuery asks an agent to send a Query to other agents and to combine their
+	// replies. AppendDelegation encodes the payload.
+	DelegatedQuery Kind = 21
+	// DelegatedReply answers a DelegatedQuery. DelegatedReplies.Append encodes the payload.
+	DelegatedReply Kind = 22
 )
 
 // MaxRanks is the largest number of agents to try next that an envelope names.
@@ -86,10 +91,11 @@
 	// ServiceHash is config.ServiceHash of the service's name.
 	ServiceHash uint32
 
-	// Balancer is the balancer to which notices, returned packets and query replies go.
+	// Balancer is the balancer to which notices, returned packets and query replies go. In
+	// a Query that an agent sends for a balancer it is that agent.
 	Balancer flow.Endpoint
 
-	// Agent is the sender of a Notice, ReturnedPacket or QueryReply.
+	// Agent is the sender of a Notice, ReturnedPacket, QueryReply or DelegatedReply.
 	Agent flow.Endpoint
 
 	// WantNotice asks the agent that has the flow for a Notice.
@@ -109,7 +115,7 @@
 	// TriedCount is the number of agents that got the packet before.
 	TriedCount uint8
 
-	// QueryID identifies a Query of a balancer; its QueryReply has the same.
+	// QueryID identifies a Query or DelegatedQuery of its sender; the reply has the same.
 	QueryID uint16
 
 	// Load is the number of requests that the agent's upstream has or that wait for it,
@@ -186,7 +192,7 @@
 		return Envelope{}, nil, ErrTruncated
 	}
 	e := Envelope{Kind: Kind(datagram[0]), RankCount: int(datagram[1]), TriedCount: datagram[3]}
-	if e.Kind < CallerPacket || e.Kind > QueryReply {
+	if e.Kind < CallerPacket || e.Kind > DelegatedReply {
 		return Envelope{}, nil, ErrUnknownKind
 	}
 	if e.RankCount > MaxRanks {
