Agents ask other agents about lost flows for a balancer

Change: package fanout takes a delegated query, asks the agents, repeats the question once after 100 ms and answers with the combined replies, at the latest after 200 ms; at most 64 delegations at once, later ones are dropped. fwagt runs it. Balancers do not send delegated queries yet.

--- a/internal/transport/fwagt/act.go
+++ b/internal/transport/fwagt/act.go
@@ -32,8 +32,13 @@
 	for i := range actions {
 		a.performOne(now, &actions[i])
 	}
-	due, waiting := a.owner.NextTick()
-	if waiting && (a.nextTick.IsZero() || due.Before(a.nextTick)) {
+	a.scheduleTick(a.owner.NextTick())
+}
+
+// scheduleTick sets the timer to fire at due, if a task is due then and the timer would
+// fire later. It must be called with the lock held.
+func (a *Agent) scheduleTick(due time.Time, pending bool) {
+	if pending && (a.nextTick.IsZero() || due.Before(a.nextTick)) {
 		a.nextTick = due
 		a.timer.Reset(time.Until(due))
 	}
--- a/internal/transport/fwagt/follow.go
+++ b/internal/transport/fwagt/follow.go
@@ -46,6 +46,7 @@
 		a.nextTick = time.Time{}
 		now := time.Now()
 		a.perform(now, a.owner.Tick(now))
+		a.sendForBalancer(now, a.collector.Tick(now))
 		a.metrics.Connections.Set(float64(a.owner.FlowCount()))
 		a.metrics.SlotsUsed.Set(float64(a.owner.RequestCount() - a.owner.ArrivingCount()))
 		a.metrics.Arriving.Set(float64(a.owner.ArrivingCount()))
--- a/internal/transport/fwagt/fwagt.go
+++ b/internal/transport/fwagt/fwagt.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/coriandershift/coriandershift"
+	"github.com/coriandershift/coriandershift/internal/coordination/fanout"
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
@@ -47,6 +48,7 @@
 
 	mu        sync.Mutex
 	owner     *owner.Owner
+	collector *fanout.Collector
 	revision  uint64 // of the configuration that the owner has
 	accepting bool   // whether the upstream accepted new flows at the last updateWeight
 	timer     *time.Timer
@@ -98,6 +100,7 @@
 		service:      o.Service,
 		usage:        monitor,
 		owner:        owner.New(settings, time.Now()),
+		collector:    fanout.New(settings.Self, time.Now()),
 		buffer:       make([]byte, 0, ctrl.MaxDatagram),
 	}, nil
 }
@@ -241,6 +244,10 @@
 			return
 		}
 		a.perform(now, a.owner.HandleQuery(&envelope, questions))
+	case fwdmsg.DelegatedQuery:
+		a.startDelegation(now, &envelope, payload)
+	case fwdmsg.QueryReply:
+		a.sendForBalancer(now, a.collector.HandleReply(&envelope, payload))
 	default:
 		a.metrics.DroppedDatagrams.WithLabelValues("malformed").Inc()
 	}
--- a/internal/transport/usage/usage.go
+++ b/internal/transport/usage/usage.go
@@ -125,9 +125,9 @@
 // packet in it, if any.
 func MessageKind(k fwdmsg.Kind, packet link.Kind) link.Kind {
 	switch k {
-	case fwdmsg.Query:
+	case fwdmsg.Query, fwdmsg.DelegatedQuery:
 		return link.Query
-	case fwdmsg.QueryReply:
+	case fwdmsg.QueryReply, fwdmsg.DelegatedReply:
 		return link.Reply
 	case fwdmsg.Notice:
 		return link.Notice
