Delegated queries: agents ask for a balancer whose link is narrow

Change: while the budget covers the questions and their replies, and they fit the queue at the link, the balancer asks directly as before. Otherwise it has an agent ask, one that it heard of in the last 3 s and that is not suspected. A silent delegate is replaced after 300 ms; after two, the balancer asks directly, in runs of 25 ms of the link. Repeats of direct questions follow the same runs now, and a round trip counts from the question to the agent, since one query may take several runs. Queries on a link with a rate that are delegated are about 32 flows at most. Without a rate all is as before.

Ruled out: delegates that were not heard of lately (a link may be cut), and a direct question to all remaining agents at once after two delegates (35 KB in one run for 60 agents and 32 flows, which overflows the queue at the link).

--- a/internal/coordination/fanout/fanout.go
+++ b/internal/coordination/fanout/fanout.go
@@ -20,8 +20,8 @@
 	resendDelay = 100 * time.Millisecond
 
 	// maxDelegations limits the delegations in progress, of up to 4 KB each. Each sends
-	// up to 100 queries of up to 600 bytes, so that 64 within the Deadline take a quarter
-	// of a link of 1,000 Mbit/s.
+	// up to 100 queries of up to 600 bytes, so that 64 within the Deadline, all repeated,
+	// take less than a third of a link of 1,000 Mbit/s.
 	maxDelegations = 64
 )
 
--- a/internal/coordination/steer/ask.go
+++ b/internal/coordination/steer/ask.go
@@ -9,7 +9,7 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
-// query is a batch of questions about flows, sent to all agents that may have them.
+// query is a batch of questions about flows for all agents that may have them.
 type query struct {
 	askedAt time.Time // when the latest agents were asked
 	resent  bool      // since askedAt
@@ -17,18 +17,32 @@
 	payload []byte
 	asked   map[flow.Endpoint]question
 	pending int // agents that have not replied
+
+	// waiting are the agents that are to be asked directly in the next runs.
+	waiting []flow.Endpoint
+
+	// delegations are the IDs of the delegations of this query. delegateUses counts them
+	// by delegate, and failedDelegates are agents that are not to be the next one.
+	delegations     []uint16
+	delegateUses    map[flow.Endpoint]int
+	failedDelegates map[flow.Endpoint]bool
 }
 
 // question is what an agent was asked in a query.
 type question struct {
-	incarnation uint64 // of the agent when it was asked
-	pending     bool   // it has not replied
+	incarnation uint64    // of the agent when it was asked
+	pending     bool      // it has not replied
+	sentAt      time.Time // when this balancer sent it the question, zero if it did not
+	repeated    bool      // it was sent the question again since
 }
 
 // sendQuery asks the agents that may have flows of a route about the flows in keys,
 // at least one and at most fwdmsg.MaxQuestions.
 func (r *Router) sendQuery(now time.Time, route *config.Route, keys []flow.Key) {
-	q := &query{keys: slices.Clone(keys), asked: map[flow.Endpoint]question{}}
+	q := &query{
+		keys: slices.Clone(keys), asked: map[flow.Endpoint]question{},
+		delegateUses: map[flow.Endpoint]int{}, failedDelegates: map[flow.Endpoint]bool{},
+	}
 	questions := make([]fwdmsg.Question, 0, len(keys))
 	for _, key := range keys {
 		s := r.searches[key]
@@ -39,12 +53,26 @@
 	}
 	q.payload = fwdmsg.AppendQuestions(nil, questions)
 
+	id := r.nextQueryID()
+	r.queries[id] = q
+	r.askNext(now, id, q, route)
+}
+
+// nextQueryID returns an ID that no query or delegation has.
+func (r *Router) nextQueryID() uint16 {
 	r.lastQueryID++
-	if r.lastQueryID == probeQueryID {
+	for r.lastQueryID == probeQueryID || r.queries[r.lastQueryID] != nil || r.delegations[r.lastQueryID] != nil {
 		r.lastQueryID++
 	}
-	r.queries[r.lastQueryID] = q
-	r.askNext(now, r.lastQueryID, q, route)
+	return r.lastQueryID
+}
+
+// endQuery forgets a query. Replies that arrive later are ignored.
+func (r *Router) endQuery(id uint16, q *query) {
+	delete(r.queries, id)
+	for _, delegationID := range q.delegations {
+		delete(r.delegations, delegationID)
+	}
 }
 
 // askNext asks up to maxAskedAtOnce agents that may have the flows of a query and were
@@ -52,44 +80,102 @@
 // another process before. It reports whether there were any.
 func (r *Router) askNext(now time.Time, id uint16, q *query, route *config.Route) bool {
 	live, dead := r.possibleHolders(now, route, q.keys[0].Hash())
-	count := 0
-	for _, a := range append(live, dead...) {
+	var next []*agent
+	for _, a := range slices.Concat(live, dead) {
 		asked, found := q.asked[a.endpoint]
 		if found && asked.incarnation == a.member.Incarnation {
 			continue
 		}
-		if count == maxAskedAtOnce || len(q.asked) == maxQueriedAgents {
+		if len(next) == maxAskedAtOnce || len(q.asked) == maxQueriedAgents {
 			break
 		}
 		if !asked.pending {
 			q.pending++
 		}
 		q.asked[a.endpoint] = question{incarnation: a.member.Incarnation, pending: true}
-		count++
-		r.sendQuestions(id, q, a.endpoint)
+		next = append(next, a)
 	}
-	if count == 0 {
+	if len(next) == 0 {
 		return false
 	}
-	q.askedAt, q.resent = now, false
+	r.ask(now, id, q, next, live, 1)
 	return true
 }
 
+// ask asks agents the questions of a query: directly while the budget covers that, which
+// is fastest, and otherwise through delegates, chosen from candidates. This is the given
+// attempt for these agents; after maxDelegates it is direct in any case.
+func (r *Router) ask(now time.Time, id uint16, q *query, agents, candidates []*agent, attempt int) {
+	q.askedAt, q.resent = now, false
+	direct := r.coversDirectly(now, len(agents), len(q.keys))
+	if attempt > 1 { // waiting for the next run takes less time than another delegate
+		direct = attempt > maxDelegates || r.budget.covers(now, questionCost(len(agents), len(q.keys)))
+	}
+	if direct {
+		r.askDirectly(now, id, q, agents)
+		return
+	}
+	for _, group := range groupsOf(agents) {
+		var delegate *agent
+		if len(group) >= minDelegatedAgents {
+			delegate = r.chooseDelegate(now, q, candidates)
+		}
+		if delegate == nil {
+			r.askDirectly(now, id, q, group)
+			continue
+		}
+		r.delegate(now, id, q, delegate.endpoint, group, attempt)
+	}
+}
+
+// groupsOf divides agents into groups for one delegate each. Agents that may leave a
+// question unanswered are in groups of their own, so that no delegate waits for them
+// while it has the replies of others.
+func groupsOf(agents []*agent) [][]*agent {
+	var replying, others []*agent
+	for _, a := range agents {
+		if a.mayReply() {
+			replying = append(replying, a)
+		} else {
+			others = append(others, a)
+		}
+	}
+	return slices.AppendSeq(slices.Collect(slices.Chunk(replying, fwdmsg.MaxDelegatedAgents)), slices.Chunk(others, fwdmsg.MaxDelegatedAgents))
+}
+
+// askDirectly asks agents itself, those beyond this run in later ones.
+func (r *Router) askDirectly(now time.Time, id uint16, q *query, agents []*agent) {
+	r.budget.charge(now, questionCost(len(agents), len(q.keys)))
+	for _, a := range agents {
+		q.asked[a.endpoint] = question{incarnation: a.member.Incarnation, pending: true}
+		q.waiting = append(q.waiting, a.endpoint)
+	}
+	r.askWaiting(now, id, q)
+}
+
 func (r *Router) sendQuestions(id uint16, q *query, to flow.Endpoint) {
+	r.run.bytes += messageLength + len(q.payload)
 	r.send(Action{
 		To: to, Packet: q.payload,
 		Envelope: fwdmsg.Envelope{Kind: fwdmsg.Query, QueryID: id, Balancer: r.self, Revision: r.cfg.Revision},
 	})
 }
 
-// resendQuestions repeats a query to the agents that have not replied: with hundreds of
-// agents, one datagram in a thousand lost would leave a third of the queries incomplete.
+// resendQuestions repeats a query to the agents that have not replied, except those that
+// a delegate asks: with hundreds of agents, one datagram in a thousand lost would leave a
+// third of the queries incomplete. What does not fit this run follows in the next ones.
 func (r *Router) resendQuestions(now time.Time, id uint16, q *query) {
-	q.resent = true
 	for agent, asked := range q.asked {
-		if asked.pending {
-			r.budget.charge(now, questionCost(1, len(q.keys)))
-			r.sendQuestions(id, q, agent)
+		if !asked.pending || asked.sentAt.IsZero() || asked.repeated {
+			continue
+		}
+		if !r.fitsQuestions(q) {
+			return
 		}
+		asked.repeated = true
+		q.asked[agent] = asked
+		r.budget.charge(now, questionCost(1, len(q.keys)))
+		r.sendQuestions(id, q, agent)
 	}
+	q.resent = true
 }
--- a/internal/coordination/steer/budget.go
+++ b/internal/coordination/steer/budget.go
@@ -17,10 +17,6 @@
 	// budgetBurst is the time whose share may be used at once after a calm period.
 	budgetBurst = time.Second
 
-	// maxQueryTime is the time that the questions of one query may take on the link. A
-	// longer run of datagrams may overflow the queue at the link.
-	maxQueryTime = 25 * time.Millisecond
-
 	// datagramHeaders is the length of the headers of IP and UDP in bytes.
 	datagramHeaders = 28
 
@@ -49,16 +45,23 @@
 // budget may fall below zero: a query to thousands of agents can exceed the burst, and
 // one about many flows takes fewer bytes than several about few.
 func (b budget) take(now time.Time, bytes int) bool {
-	if b.limiter == nil {
-		return true
-	}
-	if b.limiter.TokensAt(now) <= 0 {
+	if !b.available(now) {
 		return false
 	}
 	b.charge(now, bytes)
 	return true
 }
 
+// available reports whether messages may be sent now, at the risk of a debt.
+func (b budget) available(now time.Time) bool {
+	return b.limiter == nil || b.limiter.TokensAt(now) > 0
+}
+
+// covers reports whether messages may be sent now without a debt.
+func (b budget) covers(now time.Time, bytes int) bool {
+	return b.limiter == nil || b.limiter.TokensAt(now) >= float64(bytes)
+}
+
 // charge deducts the bytes of messages that are sent in any case.
 func (b budget) charge(now time.Time, bytes int) {
 	if b.limiter == nil {
@@ -75,15 +78,6 @@
 	return agents * (2*messageLength + flows*(fwdmsg.QuestionLength+fwdmsg.StatusLength))
 }
 
-// flowsPerQuery returns the number of flows in one query to a number of agents.
-func (r *Router) flowsPerQuery(agents int) int {
-	if r.linkRate == 0 || agents == 0 {
-		return fwdmsg.MaxQuestions
-	}
-	bytes := maxQueryTime.Seconds()*float64(r.linkRate)/float64(min(agents, maxAskedAtOnce)) - messageLength
-	return max(1, min(int(bytes)/fwdmsg.QuestionLength, fwdmsg.MaxQuestions))
-}
-
 // maxRetryDoublings limits the doublings of retryDelay on a link with a budget.
 const maxRetryDoublings = 3
 
--- /dev/null
+++ b/internal/coordination/steer/delegation.go
@@ -0,0 +1,176 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/fanout"
+	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+)
+
+const (
+	// delegateTimeout is the time that a delegate has to answer: its own deadline, and
+	// 100 ms for both messages on a link that is in use.
+	delegateTimeout = fanout.Deadline + 100*time.Millisecond
+
+	// maxDelegates limits the delegates that are tried one after the other for the same
+	// agents. Then this balancer asks the agents itself.
+	maxDelegates = 2
+
+	// minDelegatedAgents is the least number of agents that a delegate is asked about.
+	// Asking fewer directly takes hardly more bytes.
+	minDelegatedAgents = 4
+)
+
+// delegation is a query that a delegate sends to agents on behalf of this balancer.
+type delegation struct {
+	queryID  uint16
+	query    *query
+	delegate flow.Endpoint
+	sentAt   time.Time
+	attempt  int // 1 for the first delegate, one more for each next one
+
+	// agents are those to ask, and incarnations what they were when this was sent.
+	agents       []flow.Endpoint
+	incarnations []uint64
+
+	answered bool
+	failed   bool // the delegate did not answer in time, or not for all agents
+	replaced bool // the agents that have not replied were asked in another way
+}
+
+// delegationCost returns the bytes on the link of a delegated query and its reply.
+func delegationCost(agents, flows int) int {
+	return 2*messageLength + fwdmsg.DelegationLength(agents, flows) + fwdmsg.DelegatedRepliesLength(agents, flows)
+}
+
+// delegate has an agent ask others the questions of a query.
+func (r *Router) delegate(now time.Time, id uint16, q *query, to flow.Endpoint, agents []*agent, attempt int) {
+	d := &delegation{queryID: id, query: q, delegate: to, sentAt: now, attempt: attempt}
+	for _, a := range agents {
+		d.agents = append(d.agents, a.endpoint)
+		d.incarnations = append(d.incarnations, a.member.Incarnation)
+		q.asked[a.endpoint] = question{incarnation: a.member.Incarnation, pending: true}
+	}
+	delegationID := r.nextQueryID()
+	r.delegations[delegationID] = d
+	q.delegations = append(q.delegations, delegationID)
+	q.delegateUses[to]++
+	r.budget.charge(now, delegationCost(len(agents), len(q.keys)))
+	r.run.bytes += messageLength + fwdmsg.DelegationLength(len(agents), len(q.keys))
+	r.send(Action{
+		To: to, Packet: fwdmsg.AppendDelegation(nil, d.agents, q.payload),
+		Envelope: fwdmsg.Envelope{Kind: fwdmsg.DelegatedQuery, QueryID: delegationID, Balancer: r.self, Revision: r.cfg.Revision},
+	})
+}
+
+// handleDelegatedReply handles the replies that a delegate has collected. They count for
+// the processes that the agents were when the delegate was sent to them, also if the
+// delegate has been replaced since. A malformed reply is treated like a lost one.
+func (r *Router) handleDelegatedReply(now time.Time, e *fwdmsg.Envelope, payload []byte) {
+	d := r.delegations[e.QueryID]
+	if d == nil || d.delegate != e.Agent {
+		return
+	}
+	q := d.query
+	replies, err := fwdmsg.ParseDelegatedReplies(payload, len(d.agents), len(q.keys))
+	if err != nil {
+		return
+	}
+	d.answered = true
+	if a := r.agents[e.Agent]; a != nil {
+		a.recordDelegateReply()
+	}
+	for i, agent := range d.agents {
+		asked := q.asked[agent]
+		if replies.Answered[i] && asked.pending && asked.incarnation == d.incarnations[i] {
+			q.asked[agent] = question{incarnation: asked.incarnation}
+			q.pending--
+			r.recordDelegated(now, q, i, agent, &replies)
+		}
+	}
+
+	if q.pending == 0 {
+		r.finishQuery(now, d.queryID, q)
+		return
+	}
+	r.replaceIfIncomplete(now, d)
+}
+
+// recordDelegated records what an agent, the one of index i, replied to a delegate.
+func (r *Router) recordDelegated(now time.Time, q *query, i int, agent flow.Endpoint, replies *fwdmsg.DelegatedReplies) {
+	for j, key := range q.keys {
+		s := r.searches[key]
+		switch {
+		case s == nil || !s.awaits(q):
+		case replies.Holders[j] == byte(i):
+			r.resolve(now, key, s, agent)
+		case replies.Uncertain[i]:
+			s.uncertain = append(s.uncertain, agent)
+		}
+	}
+}
+
+// silent returns the agents that have not replied.
+func (d *delegation) silent() []flow.Endpoint {
+	var agents []flow.Endpoint
+	for _, agent := range d.agents {
+		if d.query.asked[agent].pending {
+			agents = append(agents, agent)
+		}
+	}
+	return agents
+}
+
+// replaceIfIncomplete asks the agents whose replies a delegate did not get in another
+// way. The next delegate is none of them.
+func (r *Router) replaceIfIncomplete(now time.Time, d *delegation) {
+	silent := d.silent()
+	d.failed = len(silent) > 0
+	if !d.failed {
+		return
+	}
+	d.query.failedDelegates[d.delegate] = true
+	for _, agent := range silent {
+		d.query.failedDelegates[agent] = true
+	}
+	r.replaceDelegate(now, d)
+}
+
+// expireDelegations replaces the delegates that did not answer in time.
+func (r *Router) expireDelegations(now time.Time) {
+	for _, d := range r.delegations {
+		if !d.answered && !d.failed && now.Sub(d.sentAt) >= r.replyTimeout(delegateTimeout) {
+			d.failed = true
+			d.query.failedDelegates[d.delegate] = true
+			if a := r.agents[d.delegate]; a != nil {
+				a.recordDelegateSilence(now)
+			}
+		}
+		if d.failed {
+			r.replaceDelegate(now, d)
+		}
+	}
+}
+
+// replaceDelegate asks the agents of a failed delegation that have not replied in
+// another way, once the link permits. Agents that are dead or without flows are not
+// asked again.
+func (r *Router) replaceDelegate(now time.Time, d *delegation) {
+	route := r.routes[d.query.keys[0].Service]
+	if d.replaced || route == nil || !r.awaited(d.query) || !r.mayAsk(now) {
+		return
+	}
+	d.replaced = true
+	var rest []*agent
+	for _, endpoint := range d.silent() {
+		if a := r.agents[endpoint]; a != nil && a.mayReply() {
+			rest = append(rest, a)
+		}
+	}
+	if len(rest) == 0 {
+		return
+	}
+	live, _ := r.possibleHolders(now, route, d.query.keys[0].Hash())
+	r.ask(now, d.queryID, d.query, rest, live, d.attempt+1)
+}
--- a/internal/coordination/steer/member.go
+++ b/internal/coordination/steer/member.go
@@ -28,6 +28,10 @@
 
 	missedNoticeAt time.Time // when the timeout of an opening packet last passed
 	noticeInTimeAt time.Time // when a notice last came within the timeout
+
+	heardAt           time.Time // when it last sent this balancer a message
+	silentDelegations int       // consecutive delegated queries that it did not answer
+	noDelegateUntil   time.Time // it is not chosen as a delegate until then
 }
 
 // service holds the agents of one service.
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -7,12 +7,16 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
-// HandleAgentMessage handles a notice, a returned packet or the reply to a query.
+// HandleAgentMessage handles a notice, a returned packet or the reply to a query or
+// delegated query.
 // parse decodes the packet that was returned. The actions are valid until the next
 // call of a method that returns actions.
 func (r *Router) HandleAgentMessage(now time.Time, e *fwdmsg.Envelope, payload []byte, parse func([]byte) (flow.Packet, error)) []Action {
 	r.actions = r.actions[:0]
 	r.use.countIn(now, messageLength+len(payload))
+	if a := r.agents[e.Agent]; a != nil {
+		a.heardAt = now
+	}
 	switch e.Kind {
 	case fwdmsg.Notice:
 		r.handleNotice(now, e, flow.DecodeKey(payload))
@@ -25,6 +29,8 @@
 		r.handleReturned(now, e, &p)
 	case fwdmsg.QueryReply:
 		r.handleQueryReply(now, e, payload)
+	case fwdmsg.DelegatedReply:
+		r.handleDelegatedReply(now, e, payload)
 	}
 	return r.actions
 }
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -27,12 +27,19 @@
 // advanceSearches ends the queries, lookups and offers that have timed out, and
 // sends queries for the searches that wait for one.
 func (r *Router) advanceSearches(now time.Time) {
+	r.startRun(now)
+	r.expireDelegations(now)
+	for id, q := range r.queries {
+		if r.awaited(q) {
+			r.askWaiting(now, id, q)
+		}
+	}
 	for id, q := range r.queries {
 		switch age := now.Sub(q.askedAt); {
 		case age >= r.replyTimeout(emptyAgentTimeout) && r.onlyEmptyAgentsPending(q):
 			r.finishQuery(now, id, q)
 		case age >= r.replyTimeout(queryTimeout):
-			delete(r.queries, id)
+			r.endQuery(id, q)
 			r.expireQuery(now, q)
 		case age >= r.replyTimeout(resendDelay) && !q.resent:
 			r.resendQuestions(now, id, q)
@@ -61,23 +68,19 @@
 }
 
 // askAbout sends queries about the flows in keys, the longest waiting first, as far as
-// the budget permits. The others stay queued while their callers may repeat packets.
+// the link permits. The others stay queued while their callers may repeat packets.
 func (r *Router) askAbout(now time.Time, route *config.Route, keys []flow.Key) {
 	slices.SortFunc(keys, func(a, b flow.Key) int {
 		return r.searches[a].enteredAt.Compare(r.searches[b].enteredAt)
 	})
 	for len(keys) > 0 {
 		live, dead := r.possibleHolders(now, route, keys[0].Hash())
-		agents := len(live) + len(dead)
-		count := min(len(keys), r.flowsPerQuery(agents))
-		if !r.budget.take(now, questionCost(agents, count)) {
+		count := r.batchSize(now, len(keys), live, dead)
+		if count == 0 {
 			break
 		}
 		r.sendQuery(now, route, keys[:count])
 		keys = keys[count:]
-		if count < fwdmsg.MaxQuestions && r.linkRate > 0 {
-			break // the next tick sends the next query
-		}
 	}
 	for _, key := range keys {
 		if s := r.searches[key]; now.Sub(s.packetAt) >= retryPeriod {
@@ -97,9 +100,12 @@
 	if q == nil || !q.asked[e.Agent].pending || len(statuses) != len(q.keys) {
 		return
 	}
-	q.asked[e.Agent] = question{incarnation: q.asked[e.Agent].incarnation}
+	asked := q.asked[e.Agent]
+	if !asked.sentAt.IsZero() {
+		r.recordRoundTrip(now, asked.sentAt)
+	}
+	q.asked[e.Agent] = question{incarnation: asked.incarnation}
 	q.pending--
-	r.recordRoundTrip(now, q.askedAt)
 	for i, key := range q.keys {
 		s := r.searches[key]
 		if s == nil || !s.awaits(q) {
@@ -124,7 +130,7 @@
 	if route != nil && r.awaited(q) && r.askNext(now, id, q, route) {
 		return
 	}
-	delete(r.queries, id)
+	r.endQuery(id, q)
 	for _, key := range q.keys {
 		if s := r.searches[key]; s != nil && s.awaits(q) {
 			r.offerToUncertain(now, key, s)
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -6,6 +6,7 @@
 package steer
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/intake"
@@ -13,6 +14,7 @@
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
 const (
@@ -82,6 +84,7 @@
 	linkRate int
 	use      linkUse
 	budget   budget
+	run      run
 
 	// late is the result of linkSlow at latenessCheckedAt.
 	late              bool
@@ -124,7 +127,9 @@
 	searchesActive bool
 	searches       map[flow.Key]*search
 	queries        map[uint16]*query
+	delegations    map[uint16]*delegation // by the QueryID of the DelegatedQuery
 	lastQueryID    uint16
+	random         *rand.Rand
 
 	// expected are the members that were known before the start; valid if expectedSet.
 	// unansweredProbes counts, for each of them that this balancer had not heard of when it
@@ -164,6 +169,8 @@
 		waitingOpens:   map[flow.Key]heldPacket{},
 		searches:       map[flow.Key]*search{},
 		queries:        map[uint16]*query{},
+		delegations:    map[uint16]*delegation{},
+		random:         rand.New(rand.NewPCG(roster.HashAddress(self.AddrPort()), uint64(now.UnixNano()))),
 		formerServices: map[flow.Endpoint][]string{},
 	}
 	for _, apply := range options {
--- a/internal/protocol/fwdmsg/delegation.go
+++ b/internal/protocol/fwdmsg/delegation.go
@@ -29,13 +29,18 @@
 }
 
 // AppendDelegation appends the payload of a DelegatedQuery to dst: the number of agents,
-// their endpoints and the questions as AppendQuestions encodes them.
-func AppendDelegation(dst []byte, d *Delegation) []byte {
-	dst = append(dst, byte(len(d.Agents)))
-	for _, agent := range d.Agents {
+// their endpoints and the questions, which AppendQuestions has encoded.
+func AppendDelegation(dst []byte, agents []flow.Endpoint, questions []byte) []byte {
+	dst = append(dst, byte(len(agents)))
+	for _, agent := range agents {
 		dst = appendEndpoint(dst, agent)
 	}
-	return AppendQuestions(dst, d.Questions)
+	return append(dst, questions...)
+}
+
+// DelegationLength returns the length in bytes of the payload of a DelegatedQuery.
+func DelegationLength(agents, questions int) int {
+	return 1 + agents*EndpointLength + questions*QuestionLength
 }
 
 // ParseDelegation decodes the payload of a DelegatedQuery. It returns ErrTruncated if
--- a/internal/protocol/fwdmsg/delegation_test.go
+++ b/internal/protocol/fwdmsg/delegation_test.go
@@ -23,13 +23,21 @@
 	return d
 }
 
+// written returns the payload of a DelegatedQuery.
+func written(d *fwdmsg.Delegation) []byte {
+	return fwdmsg.AppendDelegation(nil, d.Agents, fwdmsg.AppendQuestions(nil, d.Questions))
+}
+
 func TestADelegationIsReadAsItWasWritten(t *testing.T) {
 	for name, want := range map[string]fwdmsg.Delegation{
 		"smallest": delegation(1, 1),
 		"largest":  delegation(fwdmsg.MaxDelegatedAgents, fwdmsg.MaxDelegatedQuestions),
 	} {
 		t.Run(name, func(t *testing.T) {
-			payload := fwdmsg.AppendDelegation(nil, &want)
+			payload := written(&want)
+			if want := fwdmsg.DelegationLength(len(want.Agents), len(want.Questions)); len(payload) != want {
+				t.Errorf("%d bytes, want %d", len(payload), want)
+			}
 			got, err := fwdmsg.ParseDelegation(payload)
 			if err != nil {
 				t.Fatal(err)
@@ -49,7 +57,7 @@
 func TestBadDelegationsAreRefused(t *testing.T) {
 	written := func(agents, questions int) []byte {
 		d := delegation(agents, questions)
-		return fwdmsg.AppendDelegation(nil, &d)
+		return written(&d)
 	}
 	tests := map[string]struct {
 		payload []byte
@@ -137,13 +145,13 @@
 
 func FuzzParseDelegation(f *testing.F) {
 	d := delegation(3, 2)
-	f.Add(fwdmsg.AppendDelegation(nil, &d))
+	f.Add(written(&d))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		d, err := fwdmsg.ParseDelegation(data)
 		if err != nil {
 			return
 		}
-		if diff := cmp.Diff(data, fwdmsg.AppendDelegation(nil, &d)); diff != "" {
+		if diff := cmp.Diff(data, written(&d)); diff != "" {
 			t.Error(diff)
 		}
 	})
--- a/internal/protocol/fwdmsg/replies.go
+++ b/internal/protocol/fwdmsg/replies.go
@@ -37,10 +37,10 @@
 // ParseDelegatedReplies decodes the payload of a DelegatedReply to a query of so many
 // agents and questions. It returns ErrReplyLength, ErrUnknownAgent or ErrUnansweredBit.
 func ParseDelegatedReplies(payload []byte, agents, questions int) (DelegatedReplies, error) {
-	size := bitsLength(agents)
-	if len(payload) != 2*size+questions {
+	if len(payload) != DelegatedRepliesLength(agents, questions) {
 		return DelegatedReplies{}, ErrReplyLength
 	}
+	size := bitsLength(agents)
 	d := DelegatedReplies{
 		Answered:  bitsAt(payload, agents),
 		Uncertain: bitsAt(payload[size:], agents),
@@ -63,6 +63,11 @@
 	return d, nil
 }
 
+// DelegatedRepliesLength returns the length in bytes of the payload of a DelegatedReply.
+func DelegatedRepliesLength(agents, questions int) int {
+	return 2*bitsLength(agents) + questions
+}
+
 func bitsLength(count int) int {
 	return (count + 7) / 8
 }
--- a/internal/transport/fwagt/delegate_test.go
+++ b/internal/transport/fwagt/delegate_test.go
@@ -80,7 +80,7 @@
 		Kind: fwdmsg.DelegatedQuery, QueryID: 5, Balancer: flow.EndpointOf(balancer.LocalAddr().(*net.UDPAddr).AddrPort()),
 	}
 	codec := fwdmsg.New(clusterKeys)
-	if _, err := balancer.WriteToUDPAddrPort(codec.Append(nil, &e, fwdmsg.AppendDelegation(nil, &asked)), delegate); err != nil {
+	if _, err := balancer.WriteToUDPAddrPort(codec.Append(nil, &e, fwdmsg.AppendDelegation(nil, asked.Agents, fwdmsg.AppendQuestions(nil, asked.Questions))), delegate); err != nil {
 		t.Fatal(err)
 	}
 
--- a/internal/transport/fwbal/act.go
+++ b/internal/transport/fwbal/act.go
@@ -51,9 +51,13 @@
 // logDecision logs and counts a decision. Packets of known flows and queries are only
 // counted.
 func (b *Balancer) logDecision(a *steer.Action) {
-	if a.Envelope.Kind == fwdmsg.Query {
+	switch a.Envelope.Kind {
+	case fwdmsg.Query:
 		b.metrics.Datagrams.WithLabelValues("query").Inc()
 		return
+	case fwdmsg.DelegatedQuery:
+		b.metrics.Datagrams.WithLabelValues("delegatedQuery").Inc()
+		return
 	}
 	if a.Reason == "" {
 		b.metrics.Datagrams.WithLabelValues("known").Inc()
