Simulate delegated queries with real agents

TestModelOnNarrowLinks is TestModel on links whose budget never covers a direct question. World and agents of the model got a collector; with a rate of 0 nothing changes. It was not seen to fail: with a delegate that reports agents as answered that were silent, and with one that hides uncertain agents, it passed; the tests of findfault_test.go in steer fail then.

--- a/internal/coordination/model/model_test.go
+++ b/internal/coordination/model/model_test.go
@@ -31,12 +31,8 @@
 		if a.endpoint != to || a.down {
 			continue
 		}
-		if e.Kind == fwdmsg.Query {
-			questions, err := fwdmsg.ParseQuestions(packet)
-			if err != nil {
-				fs.fatalf("unreadable query: %v", err)
-			}
-			fs.runAgentActions(a, a.core.HandleQuery(&e, questions))
+		if e.Kind != fwdmsg.CallerPacket {
+			fs.deliverQuery(a, e, packet)
 			continue
 		}
 		p, _ := unpack(packet)
@@ -70,7 +66,12 @@
 			if action.Packet == nil {
 				payload = action.Key.Append(nil)
 			}
-			fs.transmit(func() { fs.deliverToBalancer(to, e, payload) })
+			fs.transmit(func() {
+				fs.deliverToBalancer(to, e, payload)
+				if e.Kind == fwdmsg.QueryReply {
+					fs.deliverToAgent(to, e, payload) // if it asked for a balancer
+				}
+			})
 		case owner.Reset:
 			fs.resetCallerFlow(action.Key, action.Sequence, string(action.Reason), a.endpoint)
 		}
--- a/internal/coordination/model/world_test.go
+++ b/internal/coordination/model/world_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/fanout"
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
@@ -76,8 +77,9 @@
 	callerFlows map[flow.Key]*callerFlow
 	lastPort    uint16
 	cfg         *config.Config
+	linkRate    int // of the balancers, in bytes per second; 0 if not known
 
-	delivered, resets, answers int
+	delivered, resets, answers, delegated int
 }
 
 type balancer struct {
@@ -96,6 +98,8 @@
 	member   roster.Member
 	upstream *upstream
 
+	collector *fanout.Collector
+
 	// faultAt is when the agent last started or its upstream last ended.
 	faultAt time.Time
 }
@@ -127,8 +131,13 @@
 }
 
 func newFaultSim(t *testing.T, seed uint64) *faultSim {
+	return newFaultSimOnLinks(t, seed, 0)
+}
+
+func newFaultSimOnLinks(t *testing.T, seed uint64, linkRate int) *faultSim {
 	fs := &faultSim{
-		t: t, seed: seed, now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
+		linkRate: linkRate,
+		t:        t, seed: seed, now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		callerFlows: map[flow.Key]*callerFlow{}, lastPort: 1024,
 	}
 	fs.cfg = &config.Config{
@@ -194,7 +203,7 @@
 }
 
 func (fs *faultSim) startBalancer(b *balancer) {
-	b.core = steer.New(b.endpoint, "a", fs.now)
+	b.core = steer.New(b.endpoint, "a", fs.now, steer.WithLinkRate(fs.linkRate))
 	b.cfg = &config.Config{}
 	b.down = false
 	b.started = fs.now
@@ -248,6 +257,7 @@
 
 func (fs *faultSim) startAgent(a *agent) {
 	a.core = owner.New(owner.Settings{Self: a.endpoint, Domain: domainOf(a), Service: "svc"}, fs.now)
+	a.collector = fanout.New(a.endpoint, fs.now)
 	a.cfg = &config.Config{}
 	a.down = false
 	a.faultAt = fs.now
@@ -268,6 +278,7 @@
 		return
 	}
 	fs.runAgentActions(a, core.Tick(fs.now))
+	fs.sendForBalancer(a, a.collector.Tick(fs.now))
 	fs.spreadMember(a)
 	fs.schedule(20*time.Millisecond, func() { fs.tickAgent(a, core) })
 }
