Delegates in the model of narrow links

Agents of narrowSim ask others for balancers as the shipped ones do; without that, delegated queries were lost there. No check changed.

--- a/internal/coordination/model/narrow_paths_test.go
+++ b/internal/coordination/model/narrow_paths_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/fanout"
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
@@ -86,6 +87,13 @@
 			if questions, err := fwdmsg.ParseQuestions(payload); err == nil {
 				ns.runAgentActions(a, a.core.HandleQuery(&e, questions))
 			}
+		case fwdmsg.DelegatedQuery:
+			if asked, err := fwdmsg.ParseDelegation(payload); err == nil {
+				messages, _ := a.collector.Start(ns.now, &e, asked)
+				ns.sendForBalancer(a, messages)
+			}
+		case fwdmsg.QueryReply:
+			ns.sendForBalancer(a, a.collector.HandleReply(&e, payload))
 		}
 	})
 }
@@ -123,7 +131,11 @@
 			if e.Kind == fwdmsg.Notice {
 				packet = action.Key.Append(nil)
 			}
-			ns.sendToBalancer(action.To, e, packet)
+			if isAgent(action.To) {
+				ns.sendToAgent(0, ns.agents[action.To.IP[3]], e, packet)
+			} else {
+				ns.sendToBalancer(action.To, e, packet)
+			}
 		case owner.Reset:
 			key := action.Key
 			ns.travel(callerDelay, key.Hash(), func() { ns.resetFlow(key) })
@@ -131,6 +143,23 @@
 	}
 }
 
+// isAgent reports whether an address is that of an agent, as a delegate's is.
+func isAgent(e flow.Endpoint) bool { return e == agentAddress(int(e.IP[3])) }
+
+// sendForBalancer sends the messages of a delegate.
+func (ns *narrowSim) sendForBalancer(a *narrowAgent, messages []fanout.Message) {
+	for _, m := range messages {
+		e, payload := clone(m.Envelope, m.Payload)
+		switch {
+		case a.cut:
+		case isAgent(m.To):
+			ns.sendToAgent(0, ns.agents[m.To.IP[3]], e, payload)
+		default:
+			ns.sendToBalancer(m.To, e, payload)
+		}
+	}
+}
+
 func (ns *narrowSim) sendToBalancer(to flow.Endpoint, e fwdmsg.Envelope, payload []byte) {
 	b := ns.balancers[to.IP[3]]
 	size := messageSize(&e, len(payload))
--- a/internal/coordination/model/narrow_test.go
+++ b/internal/coordination/model/narrow_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/fanout"
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
@@ -90,6 +91,8 @@
 	core   *owner.Owner
 	server *narrowServer
 	cut    bool
+
+	collector *fanout.Collector
 }
 
 func newNarrowSim(c narrowConfig) *narrowSim {
@@ -141,7 +144,7 @@
 // of its questions counts: they depend on the random order of maps.
 func messageID(e *fwdmsg.Envelope, to uint64, payload []byte) uint64 {
 	id := uint64(e.Kind)<<32 | to<<16 | uint64(e.Balancer.IP[3])<<8 | uint64(e.Agent.IP[3])
-	if e.Kind == fwdmsg.Query || e.Kind == fwdmsg.QueryReply {
+	if e.Kind >= fwdmsg.Query && e.Kind <= fwdmsg.DelegatedReply {
 		return id<<8 + uint64(len(payload))
 	}
 	return id ^ xxhash.Sum64(payload)
@@ -172,6 +175,7 @@
 	}
 	a := &narrowAgent{index: i, domain: ns.domainOfIndex(i), server: &narrowServer{flows: map[flow.Key]*serverFlow{}}}
 	a.core = owner.New(owner.Settings{Self: agentAddress(i), Domain: a.domain, Service: service}, ns.now)
+	a.collector = fanout.New(agentAddress(i), ns.now)
 	ns.agents = append(ns.agents, a)
 	ns.runAgentActions(a, a.core.Configure(ns.now, ns.cfg))
 	ns.announceNarrow(a, service, 1)
@@ -188,6 +192,7 @@
 
 func (ns *narrowSim) tickNarrowAgent(a *narrowAgent) {
 	ns.runAgentActions(a, a.core.Tick(ns.now))
+	ns.sendForBalancer(a, a.collector.Tick(ns.now))
 	ns.schedule(10*time.Millisecond, func() { ns.tickNarrowAgent(a) })
 }
 
