Start a balancer's QueryIDs elsewhere in each process

Cause: a balancer numbered its queries from 1 after each start. Change: the first QueryID follows the time of the start. TestARestartedBalancerUsesOtherQueryIDs failed first (both use 2).

--- a/internal/coordination/steer/delegation_test.go
+++ b/internal/coordination/steer/delegation_test.go
@@ -166,3 +166,18 @@
 		})
 	}
 }
+
+// A delegate that was paused may answer a balancer that has restarted meanwhile. Its reply
+// stands for all agents, so it must not fit a query of the new process.
+func TestARestartedBalancerUsesOtherQueryIDs(t *testing.T) {
+	_, first := delegatingRouter(t)
+	r := steer.New(self, "a", start.Add(-time.Minute), steer.WithLinkRate(slowLink))
+	r.Configure(newConfig(1, "svc"))
+	r.UpdateMembers(start, narrowMembers())
+	hearFrom(r, start, narrowMembers())
+	r.Tick(start)
+	second := onlyDelegated(t, queriesAfterChain(t, r, start, r.HandleCallerPacket(start, data(1))[0]))
+	if first.Envelope.QueryID == second.Envelope.QueryID {
+		t.Errorf("both use %d", first.Envelope.QueryID)
+	}
+}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -128,7 +128,7 @@
 	searches       map[flow.Key]*search
 	queries        map[uint16]*query
 	delegations    map[uint16]*delegation // by the QueryID of the DelegatedQuery
-	lastQueryID    uint16
+	lastQueryID    uint16                 // starts elsewhere in each process, so that late replies to an earlier one do not fit
 	random         *rand.Rand
 
 	// expected are the members that were known before the start; valid if expectedSet.
@@ -170,6 +170,7 @@
 		searches:       map[flow.Key]*search{},
 		queries:        map[uint16]*query{},
 		delegations:    map[uint16]*delegation{},
+		lastQueryID:    uint16(now.UnixMilli()),
 		random:         rand.New(rand.NewPCG(roster.HashAddress(self.AddrPort()), uint64(now.UnixNano()))),
 		formerServices: map[flow.Endpoint][]string{},
 	}
