One caller that asks for most is refused first

Cause: where flows must be refused, callers got capacity in proportion to what they asked for.

Change: the backlog counts callers (IP addresses). A flow that must be refused is one of the caller with most flows of its priority, waiting or opened within five seconds. A caller that asks for at least twice as many flows as any other and has had its share is refused while others wait or find no room, and an overload that it causes shortens nobody else's wait. The order in which waiting flows are opened is unchanged. A late flow is evicted also if an older one that is not late yet waits, as may be after a change of the mean service time.

Ruled out: evicting by waiting flows alone, since the greedy caller's older flows are still opened (docs/design/fair.md).

Tests: TestEvict passes a caller, the same for all flows; what it checks is unchanged.

--- a/internal/coordination/owner/action.go
+++ b/internal/coordination/owner/action.go
@@ -76,7 +76,8 @@
 	Full              Reason = "full"
 	Queued            Reason = "queued"
 	Expired           Reason = "expired"
-	EvictedForYounger Reason = "evictedForYounger"
+	EvictedForYounger Reason = "evictedForYounger" // it would have been late
+	EvictedForOthers  Reason = "evictedForOthers"  // its caller had more waiting flows than others
 	Overloaded        Reason = "overloaded"
 	Bounced           Reason = "bounced"
 	NoAnswer          Reason = "noAnswer"
--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -66,19 +66,38 @@
 }
 
 // enqueue adds a flow to the backlog. If the flow would wait too long, it replaces a
-// waiting flow that can no longer be answered in time; if there is none, it is refused.
+// waiting flow that can no longer be answered in time, or one of a caller that has more
+// waiting flows; if there is none, it is refused.
 func (o *Owner) enqueue(now time.Time, key flow.Key, e *fwdmsg.Envelope, p *flow.Packet) {
-	if o.backlog.Len() == 0 {
+	dominant, dominates := o.backlog.Dominant(now)
+	othersWait := o.backlog.Len() > 0
+	if dominates {
+		othersWait = o.backlog.LenWithout(dominant) > 0
+	}
+	if !othersWait {
 		o.backlogEmptyAt = now
 	}
+	dominates = dominates && key.Caller.IP == dominant
+	if dominates && (othersWait || o.contended(now)) && o.backlog.HadShare(now, key.Caller.IP) {
+		o.forwardOrRefuse(now, key, e, p.Raw, Overloaded)
+		return
+	}
+
 	priority, objective := o.priorityAndObjective(key)
-	if o.expectedWait(key, priority) > o.maxExpectedWait(now, objective) {
-		evicted, ok := o.backlog.Evict(now, priority)
+	if o.expectedWait(key, priority) > o.maxExpectedWait(now, objective, dominates) {
+		if !dominates {
+			o.contendedAt = now
+		}
+		evicted, ok := o.backlog.Evict(now, priority, key.Caller.IP)
 		if !ok {
 			o.forwardOrRefuse(now, key, e, p.Raw, Overloaded)
 			return
 		}
-		o.resetCaller(evicted.Key, 0, EvictedForYounger)
+		reason := EvictedForYounger
+		if !now.After(evicted.OpenDeadline) {
+			reason = EvictedForOthers
+		}
+		o.resetCaller(evicted.Key, 0, reason)
 		o.notifyBalancer(now, evicted.Key, &evicted.Envelope, true)
 	}
 
@@ -91,6 +110,22 @@
 	o.notifyBalancer(now, key, e, false)
 }
 
+// contended reports whether flows of callers that do not dominate found no room within
+// overloadDelay.
+func (o *Owner) contended(now time.Time) bool {
+	return now.Sub(o.contendedAt) < overloadDelay
+}
+
+// hadShare reports whether a flow is not to be opened because others find no room, and its
+// caller dominates and has had the flows of an average caller.
+func (o *Owner) hadShare(now time.Time, key flow.Key) bool {
+	if !o.contended(now) || !o.backlog.HadShare(now, key.Caller.IP) {
+		return false
+	}
+	dominant, ok := o.backlog.Dominant(now)
+	return ok && dominant == key.Caller.IP
+}
+
 // priorityAndObjective returns the priority of a flow's route and the time within which
 // its requests are to be answered; both are 0 if the flow has no route.
 func (o *Owner) priorityAndObjective(key flow.Key) (int, time.Duration) {
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -26,6 +26,7 @@
 		return
 	}
 
+	o.backlog.RecordAsked(now, key.Caller.IP)
 	reason := o.checkAdmission(now, key, e)
 	switch reason {
 	case "":
@@ -49,6 +50,7 @@
 	o.addFlow(key, known)
 	o.handshakes[key] = known
 	o.countOpening(key, known)
+	o.backlog.RecordOpened(now, key.Caller.IP)
 	o.deliver(key, packet, 0, Opened)
 }
 
@@ -66,7 +68,7 @@
 	if o.failedOpenings >= silentThreshold {
 		return UpstreamSilent
 	}
-	if o.load() >= o.admissionLimit(e) || o.backlog.Len() > 0 {
+	if o.load() >= o.admissionLimit(e) || o.backlog.Len() > 0 || o.hadShare(now, key) {
 		return Full
 	}
 	if !now.Before(o.coldUntil) {
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -90,7 +90,8 @@
 
 	failedOpenings      int // consecutive opening packets that were unanswered or bounced
 	backlog             queue.Backlog
-	backlogEmptyAt      time.Time     // when the backlog was last known to be empty
+	contendedAt         time.Time     // when a flow last found no room, but for a caller that dominates
+	backlogEmptyAt      time.Time     // when the backlog was last known to be empty, but for a caller that dominates it
 	serviceTimes        durationMean  // times from the last data of a request to its answer
 	meanHandshake       time.Duration // moving average of the time of a handshake
 	failureRate         failureRate
--- a/internal/coordination/owner/wait.go
+++ b/internal/coordination/owner/wait.go
@@ -50,14 +50,15 @@
 }
 
 // maxExpectedWait returns the limit of the expected wait for a flow with an objective;
-// objective 0 is none.
-func (o *Owner) maxExpectedWait(now time.Time, objective time.Duration) time.Duration {
+// objective 0 is none. For a caller that dominates the backlog, an overload is lasting from
+// the start: it may be the cause of it.
+func (o *Owner) maxExpectedWait(now time.Time, objective time.Duration, dominates bool) time.Duration {
 	switch {
 	case now.Sub(o.startedAt) < recoveryPeriod:
 		return recoveryMaxWait
 	case objective == 0:
 		return defaultMaxWait
-	case now.Sub(o.backlogEmptyAt) < overloadDelay:
+	case now.Sub(o.backlogEmptyAt) < overloadDelay && !dominates:
 		return max(o.openWithin(objective), objective/overloadDivisor)
 	}
 	return objective / overloadDivisor
--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -37,10 +37,13 @@
 
 // Backlog holds waiting flows. Within a priority, the oldest goes first while it
 // can be answered in time; once it cannot, the youngest goes first, since serving
-// in order of arrival would make every flow late until the surge has passed. It is
-// not safe for concurrent use.
+// in order of arrival would make every flow late until the surge has passed. If a flow
+// must be refused, it is one of the caller with the most waiting flows. It is not safe
+// for concurrent use.
 type Backlog struct {
 	waiting []WaitingFlow // ordered by Priority, then FirstSent
+	asked   shares        // flows that callers asked for
+	opened  shares        // flows that were opened
 }
 
 // Len returns the number of waiting flows.
@@ -67,23 +70,6 @@
 	b.waiting = slices.Insert(b.waiting, index, w)
 }
 
-// Evict removes and returns the oldest flow of the least urgent priority, if that
-// is not more urgent than the given priority and the flow can no longer be answered
-// in time.
-func (b *Backlog) Evict(now time.Time, priority int) (WaitingFlow, bool) {
-	if len(b.waiting) == 0 {
-		return WaitingFlow{}, false
-	}
-	leastUrgent := b.waiting[len(b.waiting)-1].Priority
-	index := b.endOfPriority(leastUrgent - 1)
-	evicted := b.waiting[index]
-	if leastUrgent < priority || !now.After(evicted.OpenDeadline) {
-		return WaitingFlow{}, false
-	}
-	b.waiting = slices.Delete(b.waiting, index, index+1)
-	return evicted, true
-}
-
 // PopNext removes and returns the flow to open next.
 func (b *Backlog) PopNext(now time.Time) (WaitingFlow, bool) {
 	if len(b.waiting) == 0 {
@@ -93,9 +79,7 @@
 	if now.After(b.waiting[0].OpenDeadline) {
 		index = b.endOfPriority(b.waiting[0].Priority) - 1
 	}
-	next := b.waiting[index]
-	b.waiting = slices.Delete(b.waiting, index, index+1)
-	return next, true
+	return b.remove(index), true
 }
 
 // TakeExpired removes and returns the flows whose callers no longer wait.
--- a/internal/state/queue/queue_test.go
+++ b/internal/state/queue/queue_test.go
@@ -137,7 +137,7 @@
 			for _, w := range test.added {
 				b.Add(w)
 			}
-			got, ok := b.Evict(start.Add(50*time.Millisecond), test.priority)
+			got, ok := b.Evict(start.Add(50*time.Millisecond), test.priority, queue.Caller{})
 			if got.Key.Caller.Port != test.want || ok != (test.want != 0) {
 				t.Errorf("got %d, %v, want %d", got.Key.Caller.Port, ok, test.want)
 			}
