Compare runs with searches and repeated openings for the same seed

Cause: steer asks for flows, handles queries and repeats openings in the random order of maps, and the budget serves the first ones.

--- a/internal/coordination/model/silence_test.go
+++ b/internal/coordination/model/silence_test.go
@@ -70,13 +70,15 @@
 	}
 }
 
-// TestTheSameSeedGivesTheSameFigures runs a disturbance twice: figures are compared
-// between commits, and a failure must be found again by its seed.
+// TestTheSameSeedGivesTheSameFigures runs disturbances twice, in which flows are searched
+// for and openings repeated: figures are compared between commits, and a failure must be
+// found again by its seed.
 func TestTheSameSeedGivesTheSameFigures(t *testing.T) {
 	t.Parallel()
 	const full = 500 * time.Millisecond
 	run := func() []string {
-		ns := newNarrowSim(smallDeployment(1, calmEnd+4*time.Second, fillLinks(calmEnd, full), lose(0.01, calmEnd, full)))
+		ns := newNarrowSim(smallDeployment(1, calmEnd+4*time.Second,
+			fillLinks(calmEnd, full), lose(0.01, calmEnd, full), moveFlows(0, calmEnd, full)))
 		ns.run()
 		return []string{
 			ns.count(calmStart, calmEnd).String(), ns.count(calmEnd, calmEnd+2*time.Second).String(),
