--- a/internal/coordination/model/silence_test.go
+++ b/internal/coordination/model/silence_test.go
@@ -75,13 +75,13 @@
 // found again by its seed.
 func TestTheSameSeedGivesTheSameFigures(t *testing.T) {
 	t.Parallel()
-	const full = 500 * time.Millisecond
+	const full = time.Second
 	run := func() []string {
-		ns := newNarrowSim(smallDeployment(1, calmEnd+4*time.Second,
-			fillLinks(calmEnd, full), lose(0.01, calmEnd, full), moveFlows(0, calmEnd, full)))
+		ns := newNarrowSim(smallDeployment(1, calmEnd+8*time.Second,
+			fillLinks(calmEnd, full), lose(0.01, calmEnd, full), moveFlows(0, calmEnd+full/3, full/2)))
 		ns.run()
 		return []string{
-			ns.count(calmStart, calmEnd).String(), ns.count(calmEnd, calmEnd+2*time.Second).String(),
+			ns.count(calmStart, calmEnd).String(), ns.count(calmEnd, calmEnd+6*time.Second).String(),
 			fmt.Sprintf("%d events, own messages %.6f", ns.eventCount, ns.maxOwnShare(0, ns.duration)),
 		}
 	}
