Send queries and copies of openings in the same order for the same input

Change: queries go by ID, services by address, flows that wait equally long and silent openings by hash.

--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,12 +31,17 @@
 func (r *Router) advanceSearches(now time.Time) {
 	r.startRun(now)
 	r.expireDelegations(now)
-	for id, q := range r.queries {
-		if r.awaited(q) {
+	ids := slices.Sorted(maps.Keys(r.queries)) // the order decides who gets the budget
+	for _, id := range ids {
+		if q := r.queries[id]; q != nil && r.awaited(q) {
 			r.askWaiting(now, id, q)
 		}
 	}
-	for id, q := range r.queries {
+	for _, id := range ids {
+		q := r.queries[id]
+		if q == nil {
+			continue
+		}
 		switch age := now.Sub(q.askedAt); {
 		case age >= r.replyTimeout(emptyAgentTimeout) && r.onlyEmptyAgentsPending(q):
 			r.finishQuery(now, id, q)
@@ -60,9 +67,9 @@
 			due[key.Service] = append(due[key.Service], key)
 		}
 	}
-	for address, keys := range due {
+	for _, address := range slices.SortedFunc(maps.Keys(due), flow.Endpoint.Compare) {
 		if route := r.routes[address]; route != nil {
-			r.askAbout(now, route, keys)
+			r.askAbout(now, route, due[address])
 		}
 	}
 }
@@ -71,7 +78,7 @@
 // the link permits. The others stay queued while their callers may repeat packets.
 func (r *Router) askAbout(now time.Time, route *config.Route, keys []flow.Key) {
 	slices.SortFunc(keys, func(a, b flow.Key) int {
-		return r.searches[a].enteredAt.Compare(r.searches[b].enteredAt)
+		return cmp.Or(r.searches[a].enteredAt.Compare(r.searches[b].enteredAt), cmp.Compare(a.Hash(), b.Hash()))
 	})
 	for len(keys) > 0 {
 		live, dead := r.possibleHolders(now, route, keys[0].Hash())
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -1,7 +1,11 @@
 package steer
 
 import (
+	"cmp"
+	"slices"
 	"time"
+
+	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
 // NextTick returns when Tick is due, and false if nothing is pending.
@@ -50,13 +54,21 @@
 // retryOpens sends opening packets to the next agent if no notice came in time. A
 // late tick extends their timeout by its delay.
 func (r *Router) retryOpens(now time.Time, delay time.Duration) {
-	r.oldestOpen = time.Time{}
+	var silent []flow.Key
 	for key, o := range r.pendingOpens {
 		if delay > 0 {
 			o.sentAt = o.sentAt.Add(delay)
 		} else if now.Sub(o.sentAt) >= r.openTimeout() {
-			r.handleSilence(now, key, o)
+			silent = append(silent, key)
 		}
+	}
+	slices.SortFunc(silent, func(a, b flow.Key) int { return cmp.Compare(a.Hash(), b.Hash()) })
+	for _, key := range silent {
+		r.handleSilence(now, key, r.pendingOpens[key])
+	}
+
+	r.oldestOpen = time.Time{}
+	for _, o := range r.pendingOpens {
 		if r.oldestOpen.IsZero() || o.sentAt.Before(r.oldestOpen) {
 			r.oldestOpen = o.sentAt
 		}
--- a/internal/state/flow/flow.go
+++ b/internal/state/flow/flow.go
@@ -3,6 +3,8 @@
 package flow
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 	"strconv"
@@ -32,6 +34,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(e.IP), e.Port)
 }
 
+// Compare orders endpoints by address and port, as cmp.Compare does.
+func (e Endpoint) Compare(other Endpoint) int {
+	return cmp.Or(bytes.Compare(e.IP[:], other.IP[:]), cmp.Compare(e.Port, other.Port))
+}
+
 // IsZero reports whether e is the zero Endpoint, which stands for none.
 func (e Endpoint) IsZero() bool {
 	return e == Endpoint{}
