--- a/internal/coordination/fanout/fanout.go
+++ b/internal/coordination/fanout/fanout.go
@@ -4,6 +4,8 @@
 package fanout
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
@@ -104,7 +106,8 @@
 // have reached their Deadline. The messages are valid until the next call.
 func (c *Collector) Tick(now time.Time) []Message {
 	c.messages = c.messages[:0]
-	for id, d := range c.delegations {
+	for _, id := range slices.Sorted(maps.Keys(c.delegations)) {
+		d := c.delegations[id]
 		if now.Before(d.due()) {
 			continue
 		}
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
@@ -193,6 +195,7 @@
 	o.actions = o.actions[:0]
 	o.detectPause(now)
 	o.lastTick = now
+	var unanswered []flow.Key
 	for key, e := range o.handshakes {
 		if now.Sub(e.openedAt) < handshakeTimeout {
 			continue
@@ -202,6 +205,11 @@
 			o.setCount(key, e, notCounted) // the caller has given up
 			continue
 		}
+		unanswered = append(unanswered, key)
+	}
+	slices.SortFunc(unanswered, func(a, b flow.Key) int { return cmp.Compare(a.Hash(), b.Hash()) })
+	for _, key := range unanswered {
+		e := o.handshakes[key]
 		o.failedOpenings++
 		envelope, packet := e.envelope, e.packet
 		o.removeFlow(key, e)
--- a/internal/coordination/steer/ask.go
+++ b/internal/coordination/steer/ask.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -165,7 +166,8 @@
 // a delegate asks: with hundreds of agents, one datagram in a thousand lost would leave a
 // third of the queries incomplete. What does not fit this run follows in the next ones.
 func (r *Router) resendQuestions(now time.Time, id uint16, q *query) {
-	for agent, asked := range q.asked {
+	for _, agent := range slices.SortedFunc(maps.Keys(q.asked), flow.Endpoint.Compare) {
+		asked := q.asked[agent]
 		if !asked.pending || asked.sentAt.IsZero() || asked.repeated {
 			continue
 		}
--- a/internal/coordination/steer/delegation.go
+++ b/internal/coordination/steer/delegation.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/fanout"
@@ -139,7 +141,8 @@
 
 // expireDelegations replaces the delegates that did not answer in time.
 func (r *Router) expireDelegations(now time.Time) {
-	for _, d := range r.delegations {
+	for _, id := range slices.Sorted(maps.Keys(r.delegations)) {
+		d := r.delegations[id]
 		if !d.answered && !d.failed && now.Sub(d.sentAt) >= r.replyTimeout(delegateTimeout) {
 			d.failed = true
 			d.query.failedDelegates[d.delegate] = true
