Report the size of requests in notices, so that a new balancer knows heavy routes

Cause (TestCallersAreServedAsBeforeAfterLinksWereFull, all flows move): a balancer that has just started takes every route for light until a transfer has passed through it, and accepts uploads of up to 2.4 times its link. Change: an agent reports the mean size of the data of a route's requests in the place of the query ID, which notices do not use; older agents report 0, not known. intake counts it until a transfer has ended here.

--- a/internal/coordination/intake/control_test.go
+++ b/internal/coordination/intake/control_test.go
@@ -175,3 +175,31 @@
 		})
 	}
 }
+
+// The load is uploads through a balancer that has just started, of whose routes it has
+// forwarded nothing yet.
+func TestAReportedSizeMakesARouteHeavyFromItsFirstFlowOn(t *testing.T) {
+	tests := map[string]struct {
+		size     int
+		wantLate bool // some of many flows at once are refused or wait
+	}{
+		"not known":      {0, false},
+		"small requests": {900, false},
+		"uploads":        {40_000, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := intake.New(linkRate)
+			c.Learn(flow.EndpointOf(uploads.Address), uploads, test.size)
+			late := 0
+			for caller := range byte(100) {
+				if c.Admit(start, openingOf(uploads, caller, 9), uploads) != intake.Take {
+					late++
+				}
+			}
+			if (late > 0) != test.wantLate {
+				t.Errorf("%d of 100 flows were not taken at once", late)
+			}
+		})
+	}
+}
--- a/internal/coordination/intake/route.go
+++ b/internal/coordination/intake/route.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// fullPacket is the size of a packet with the most data, 1,200 bytes, on the link.
-	fullPacket = 1200 + 31 + datagramOverhead
+	// maxData is the most data in a packet, and fullPacket the size of a packet with that
+	// much on the link, in bytes.
+	maxData    = 1200
+	fullPacket = maxData + 31 + datagramOverhead
 
 	// maxLightSize is the mean size of a route's transfers, in bytes, above which the
 	// route is heavy: a few packets.
@@ -36,6 +38,9 @@
 	// 0 if none has ended. largest is the size of the largest one in progress until then.
 	meanSize, largest float64
 
+	// reportedSize is the mean that an agent reported last, 0 if none has.
+	reportedSize float64
+
 	// unfinished counts the unfinished transfers, and outstanding is the sum of what they
 	// still expect.
 	unfinished  int
@@ -71,7 +76,7 @@
 	if s.meanSize > 0 {
 		return s.meanSize
 	}
-	return s.largest
+	return max(s.reportedSize, s.largest)
 }
 
 func (s *routeState) isHeavy() bool {
@@ -92,3 +97,15 @@
 	size = min(size, maxSizeFactor*s.meanSize)
 	s.meanSize += (size - s.meanSize) / sizeSmoothing
 }
+
+// Learn takes the mean size of a route's requests in bytes, as an agent reports it; 0 is
+// not known. It counts until a transfer of the route has ended here, so that a balancer
+// that has just started knows heavy routes from their first flow on.
+func (c *Control) Learn(address flow.Endpoint, route *config.Route, size int) {
+	if c == nil || size == 0 {
+		return
+	}
+	s := c.state(address, route)
+	packets := (size + maxData - 1) / maxData
+	s.reportedSize = float64(size + packets*(fullPacket-maxData))
+}
--- a/internal/coordination/owner/arrival.go
+++ b/internal/coordination/owner/arrival.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -50,17 +51,27 @@
 	mean    time.Duration
 	sampled bool
 
+	// meanSize is the moving average of the data of a request in bytes.
+	meanSize int
+
 	// segment is the length in bytes of the longest packet that more data of the same
 	// request followed; 0 if there was none.
 	segment int
 }
 
-func (r *routeArrivals) record(sample time.Duration) {
+// record takes the arrival time and the size in bytes of a request.
+func (r *routeArrivals) record(sample time.Duration, size int) {
 	if !r.sampled {
-		r.mean, r.sampled = sample, true
+		r.mean, r.meanSize, r.sampled = sample, size, true
 		return
 	}
 	r.mean += (sample - r.mean) / arrivalSmoothing
+	r.meanSize += (size - r.meanSize) / arrivalSmoothing
+}
+
+// requestSize returns the mean size of the requests of a flow's route as notices report it.
+func (o *Owner) requestSize(key flow.Key) uint16 {
+	return uint16(min((o.arrivalsOf(key).meanSize+fwdmsg.RequestSizeUnit-1)/fwdmsg.RequestSizeUnit, 1<<16-1))
 }
 
 // arrivalsOf returns how the requests of a flow's route arrive. Records are kept for the
--- a/internal/coordination/owner/arrival_test.go
+++ b/internal/coordination/owner/arrival_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
+	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -302,3 +303,29 @@
 		})
 	}
 }
+
+// The load is a balancer that has just started: what agents know of the size of requests
+// tells it which routes are heavy.
+func TestNoticesReportTheMeanSizeOfRequests(t *testing.T) {
+	reported := func(o *owner.Owner, now time.Time, port uint16) int {
+		for _, a := range o.HandleBalancerPacket(now, envelope(), opening(port)) {
+			if a.Envelope.Kind == fwdmsg.Notice {
+				return int(a.Envelope.RequestSize) * fwdmsg.RequestSizeUnit
+			}
+		}
+		t.Fatal("no notice was sent")
+		return 0
+	}
+	o := newServingOwner()
+	if got := reported(o, start, 1); got != 0 {
+		t.Errorf("before the first request: %d bytes, want 0", got)
+	}
+	now := start
+	for port := uint16(2); port < 50; port++ {
+		now = upload(o, now, port, time.Millisecond, time.Millisecond)
+	}
+	const size = 9*fullLength + 100
+	if got := reported(o, now, 60); got < size || got >= size+fwdmsg.RequestSizeUnit {
+		t.Errorf("got %d bytes, want %d rounded up", got, size)
+	}
+}
--- a/internal/coordination/owner/fault.go
+++ b/internal/coordination/owner/fault.go
@@ -68,7 +68,7 @@
 		return
 	}
 	e.requestPending = false
-	hadGap := e.stream.hasGap()
+	hadGap, size := e.stream.hasGap(), e.stream.size()
 	e.stream.endRequest()
 	if outcome != Incomplete {
 		o.failureRate.record(now, outcome != Answered)
@@ -79,7 +79,7 @@
 	}
 	o.completions = append(o.completions, done)
 	if outcome == Answered && !hadGap {
-		o.arrivalsOf(key).record(done.Arrival)
+		o.arrivalsOf(key).record(done.Arrival, size)
 		o.serviceTimes.record(now, done.Duration)
 	}
 }
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -45,7 +45,7 @@
 func (o *Owner) deliverOpening(now time.Time, key flow.Key, sequence uint32, packet []byte, e *fwdmsg.Envelope) {
 	known := &entry{
 		openedAt: now, lastPacketAt: now, callerStart: sequence, packet: slices.Clone(packet), envelope: *e,
-		stream: stream{next: sequence + 1, end: sequence + 1, known: true},
+		stream: stream{start: sequence + 1, next: sequence + 1, end: sequence + 1, known: true},
 	}
 	o.addFlow(key, known)
 	o.handshakes[key] = known
--- a/internal/coordination/owner/stream.go
+++ b/internal/coordination/owner/stream.go
@@ -15,6 +15,9 @@
 	ahead     []dataRange
 	known     bool
 
+	// start is the sequence number of the request's first data.
+	start uint32
+
 	// untracked says that it is not known which data of the request has arrived.
 	untracked bool
 
@@ -39,7 +42,7 @@
 	packet := dataRange{sequence, sequence + uint32(length)}
 	if !s.known {
 		s.known, s.untracked = true, true
-		s.next, s.end = packet.from, packet.from
+		s.next, s.end, s.start = packet.from, packet.from, packet.from
 	}
 	if s.untracked && before(s.end, packet.to) {
 		s.next, s.ahead = s.end, nil
@@ -121,6 +124,11 @@
 	return !s.hasGap() && (full == 0 || s.lastLength < full)
 }
 
+// size returns the length in bytes of the request's data up to the last that arrived.
+func (s *stream) size() int {
+	return int(s.end - s.start)
+}
+
 // endRequest prepares for the next request of the stream.
 func (s *stream) endRequest() {
 	if s.hasGap() && !s.untracked {
@@ -129,5 +137,6 @@
 	}
 	s.next, s.ahead = s.end, nil
 	s.longest = 0
+	s.start = s.end
 	s.untracked, s.answered = false, false
 }
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -47,6 +47,9 @@
 	}
 	delete(r.pendingOpens, key)
 	delete(r.searches, key)
+	if route := r.routes[key.Service]; route != nil {
+		r.intake.Learn(key.Service, route, int(e.RequestSize)*fwdmsg.RequestSizeUnit)
+	}
 	if e.Refused {
 		delete(r.flows, key)
 		r.intake.Forget(key)
--- a/internal/protocol/fwdmsg/fwdmsg.go
+++ b/internal/protocol/fwdmsg/fwdmsg.go
@@ -12,7 +12,7 @@
 //	bytes 22-27  agent, likewise
 //	bytes 28-29  load
 //	bytes 30-31  slots
-//	bytes 32-33  query ID
+//	bytes 32-33  query ID; in a notice, the request size
 //	bytes 34-39  least loaded agent
 //	bytes 40-41  load of the least loaded agent
 //	bytes 42-43  mean duration
@@ -54,6 +54,9 @@
 	DelegatedReply Kind = 22
 )
 
+// RequestSizeUnit is the unit of Envelope.RequestSize in bytes.
+const RequestSizeUnit = 64
+
 // MaxRanks is the largest number of agents to try next that an envelope names.
 const MaxRanks = 11
 
@@ -118,6 +121,10 @@
 	// QueryID identifies a Query or DelegatedQuery of its sender; the reply has the same.
 	QueryID uint16
 
+	// RequestSize is, in a Notice, the mean size of the data of the route's requests at the
+	// agent, in units of RequestSizeUnit bytes; 0 if it is not known.
+	RequestSize uint16
+
 	// Load is the number of requests that the agent's upstream has or that wait for it,
 	// and Slots the number that it runs at once.
 	Load, Slots uint16
@@ -174,7 +181,7 @@
 	dst = appendEndpoint(dst, e.Agent)
 	dst = binary.BigEndian.AppendUint16(dst, e.Load)
 	dst = binary.BigEndian.AppendUint16(dst, e.Slots)
-	dst = binary.BigEndian.AppendUint16(dst, e.QueryID)
+	dst = binary.BigEndian.AppendUint16(dst, e.queryIDOrSize())
 	dst = appendEndpoint(dst, e.LeastLoaded)
 	dst = binary.BigEndian.AppendUint16(dst, e.MinLoadPercent)
 	dst = append(binary.BigEndian.AppendUint16(dst, e.MeanDuration), e.UnansweredPercent)
@@ -227,7 +234,11 @@
 	e.Agent = endpointAt(datagram[22:])
 	e.Load = binary.BigEndian.Uint16(datagram[28:])
 	e.Slots = binary.BigEndian.Uint16(datagram[30:])
-	e.QueryID = binary.BigEndian.Uint16(datagram[32:])
+	if e.Kind == Notice {
+		e.RequestSize = binary.BigEndian.Uint16(datagram[32:])
+	} else {
+		e.QueryID = binary.BigEndian.Uint16(datagram[32:])
+	}
 	e.LeastLoaded = endpointAt(datagram[34:])
 	e.MinLoadPercent = binary.BigEndian.Uint16(datagram[40:])
 	e.MeanDuration = binary.BigEndian.Uint16(datagram[42:])
@@ -237,6 +248,13 @@
 	}
 }
 
+func (e *Envelope) queryIDOrSize() uint16 {
+	if e.Kind == Notice {
+		return e.RequestSize
+	}
+	return e.QueryID
+}
+
 func (e *Envelope) flags() byte {
 	var flags byte
 	if e.WantNotice {
--- a/internal/protocol/fwdmsg/fwdmsg_test.go
+++ b/internal/protocol/fwdmsg/fwdmsg_test.go
@@ -39,7 +39,7 @@
 	}{
 		"full":   {fullEnvelope(), []byte("packet")},
 		"empty":  {fwdmsg.Envelope{Kind: fwdmsg.ReturnedPacket}, []byte("packet")},
-		"notice": {fwdmsg.Envelope{Kind: fwdmsg.Notice, Agent: endpoint(2)}, key},
+		"notice": {fwdmsg.Envelope{Kind: fwdmsg.Notice, Agent: endpoint(2), RequestSize: 625}, key},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
