Treat opening packets that were held for long as possible duplicates

After its start a balancer holds packets for up to 500 ms. Callers repeat an opening packet after 200 ms, and the fabric may have delivered the copy to another balancer. The held one was still placed as the only copy, so that an agent without room, or the balancer itself if its link was full, could reset a flow that was open elsewhere. From 100 ms on it counts as a copy: agents drop it instead, and the link takes it.

TestAPacketThatWasHeldForLongMayBeADuplicate and the case of a held packet of TestAFlowThatIsOlderThanACopyIsNotReset failed before and pass now.

--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -15,12 +15,18 @@
 
 	// maxHeldPackets limits the held packets, of up to 1.3 KB each.
 	maxHeldPackets = 512
+
+	// copyDelay is the time after its arrival from which a held opening packet may have a
+	// copy at another balancer: callers repeat it 200 ms after they sent it, and it may have
+	// waited at the link for half of that.
+	copyDelay = 100 * time.Millisecond
 )
 
 // heldPacket is a packet that is kept until it can be routed. It owns its Raw bytes.
 type heldPacket struct {
 	key    flow.Key
 	packet flow.Packet
+	heldAt time.Time
 }
 
 // hold stores a copy of a packet that arrived just after the start, and reports
@@ -32,7 +38,7 @@
 	}
 	stored := *p
 	stored.Raw = slices.Clone(p.Raw)
-	r.heldPackets = append(r.heldPackets, heldPacket{key: key, packet: stored})
+	r.heldPackets = append(r.heldPackets, heldPacket{key: key, packet: stored, heldAt: now})
 	r.actions = append(r.actions, Action{Kind: Hold, Reason: Starting, Key: key})
 	return true
 }
@@ -54,7 +60,11 @@
 	packets := r.heldPackets
 	r.heldPackets = nil
 	for i := range packets {
-		r.routeCallerPacket(now, packets[i].key, &packets[i].packet)
+		p := &packets[i].packet
+		if age := now.Sub(packets[i].heldAt); age >= copyDelay {
+			p.SinceFirstSent = max(p.SinceFirstSent, age)
+		}
+		r.routeCallerPacket(now, packets[i].key, p)
 	}
 }
 
