Place waiting flows when agents' messages free the link, and take flows of an idle link

A refusal of an agent ends a transfer, but waiting flows were placed only at the next packet or tick. A caller beyond its share was refused in contention although nothing was outstanding, against docs/design/intake.md.

TestAWaitingFlowIsPlacedWhenAnAgentRefusesOnesAhead and TestNoFlowIsRefusedWhileNothingIsOutstanding failed before and pass now.

--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -105,9 +105,9 @@
 	switch {
 	case l.waiting == 0 && l.hasRoom(s, share):
 		verdict = Take
-	case share < 1:
 	case l.waiting == 0 && l.inFlight == 0:
 		verdict = Take // too large for the link at any time
+	case share < 1:
 	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s):
 		verdict = Wait
 		c.enqueue(&waitingFlow{key: key, route: s, account: a, since: now})
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -26,6 +26,7 @@
 	case fwdmsg.QueryReply:
 		r.handleQueryReply(now, e, payload)
 	}
+	r.placeWaiting(now)
 	return r.actions
 }
 
