Take a flow whose wait ends while the link has room

Next refused flows at the end of their wait before it looked at the room, so that a flow was refused on a free link if nothing else had called Next since the room was freed.

TestAFlowIsTakenAtTheEndOfItsWaitIfTheLinkIsFree failed before and passes now.

--- a/internal/coordination/intake/wait.go
+++ b/internal/coordination/intake/wait.go
@@ -42,6 +42,12 @@
 		return flow.Key{}, Wait, false
 	}
 	c.sweep(now)
+	first := c.waiting[0]
+	if l := c.loadAhead(now, first.route.priority); l.inFlight == 0 || l.hasRoom(first.route, 1) {
+		c.waiting = slices.Delete(c.waiting, 0, 1)
+		c.begin(now, first.key, first.route, first.account)
+		return first.key, Take, true
+	}
 	for i, w := range c.waiting {
 		if now.Sub(w.since) >= maxWait {
 			c.waiting = slices.Delete(c.waiting, i, i+1)
@@ -49,13 +55,7 @@
 			return w.key, Refuse, true
 		}
 	}
-	first := c.waiting[0]
-	if l := c.loadAhead(now, first.route.priority); l.inFlight > 0 && !l.hasRoom(first.route, 1) {
-		return flow.Key{}, Wait, false
-	}
-	c.waiting = slices.Delete(c.waiting, 0, 1)
-	c.begin(now, first.key, first.route, first.account)
-	return first.key, Take, true
+	return flow.Key{}, Wait, false
 }
 
 // NextDue returns when Next is due at the latest, and false if no flow waits.
