Begin no transfer with a late copy of data

A copy of data that arrived after the answer was acknowledged began a new transfer, because the sequence number after the latest data was known only within a transfer. The flow then counted as unfinished for 900 ms, and a transfer of one packet lowered the route's mean. The number is now kept across the transfers of a flow.

TestALateCopyOfDataBeginsNoTransfer failed before and passes now.

--- a/internal/coordination/intake/transfer.go
+++ b/internal/coordination/intake/transfer.go
@@ -35,9 +35,13 @@
 	received float64
 	sawStart bool
 
-	// next is the sequence number after the latest data; acknowledged is the
-	// acknowledgement number of the first data packet. They are valid if hasData.
-	next         uint32
+	// next is the sequence number after the latest data of the flow, also of transfers
+	// before; valid if hasNext.
+	next    uint32
+	hasNext bool
+
+	// acknowledged is the acknowledgement number of the transfer's first data packet;
+	// valid if hasData.
 	acknowledged uint32
 	hasData      bool
 
@@ -72,15 +76,14 @@
 
 func (t *transfer) receive(p *flow.Packet, size float64) bool {
 	end := p.Sequence + uint32(p.DataLength)
+	if t.hasNext && !isAfter(end, t.next) {
+		return false // a retransmission
+	}
 	if !t.hasData {
 		t.hasData, t.acknowledged = true, p.Acknowledged
-		t.next = p.Sequence
 		t.start()
 	}
-	if !isAfter(end, t.next) {
-		return false // a retransmission
-	}
-	t.next = end
+	t.next, t.hasNext = end, true
 	t.received += size
 	t.route.recordProgress(t.received)
 	t.setRemaining(t.expectedRemaining())
