Let flows wait for at most a quarter of their objective

New flows waited for the link for up to 100 ms whatever the objective of their route. With an objective of 200 ms, the wait and the queue at the link took all of it. The wait is now at most 100 ms and a quarter of the objective; a flow whose turn would come later is refused at once.

--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -72,17 +72,14 @@
 	return l.endsInTime(s, l.outstanding, share) && l.inFlight+s.inFlight() <= share*l.rate*maxQueueDelay.Seconds()
 }
 
-// hasRoomToWait reports whether a transfer of a route can begin within maxWait and end in time.
+// hasRoomToWait reports whether a transfer of a route can begin within its
+// longest wait and end in time.
 func (l *linkLoad) hasRoomToWait(s *routeState) bool {
-	return l.endsInTime(s, l.outstanding+l.waiting, 1) && l.waiting+s.expected() <= l.rate*maxWait.Seconds()
+	return l.endsInTime(s, l.outstanding+l.waiting, 1) && l.waiting+s.expected() <= l.rate*s.maxWait().Seconds()
 }
 
 func (l *linkLoad) endsInTime(s *routeState, ahead, share float64) bool {
-	objective := s.objective
-	if objective == 0 {
-		objective = defaultObjective
-	}
-	return ahead+s.expected() <= share*objectiveShare*objective.Seconds()*l.rate
+	return ahead+s.expected() <= share*objectiveShare*s.objectiveOrDefault().Seconds()*l.rate
 }
 
 // decide returns what becomes of a caller's new flow of a heavy route.
@@ -110,7 +107,7 @@
 	case share < 1:
 	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s):
 		verdict = Wait
-		c.enqueue(&waitingFlow{key: key, route: s, account: a, since: now})
+		c.enqueue(&waitingFlow{key: key, route: s, account: a, due: now.Add(s.maxWait())})
 	}
 	if verdict == Take {
 		c.begin(now, key, s, a)
--- a/internal/coordination/intake/route.go
+++ b/internal/coordination/intake/route.go
@@ -74,6 +74,13 @@
 	return s.largest
 }
 
+func (s *routeState) objectiveOrDefault() time.Duration {
+	if s.objective == 0 {
+		return defaultObjective
+	}
+	return s.objective
+}
+
 func (s *routeState) isHeavy() bool {
 	return s.expected() > maxLightSize
 }
--- a/internal/coordination/intake/wait.go
+++ b/internal/coordination/intake/wait.go
@@ -14,6 +14,10 @@
 	// end an attempt that goes on there.
 	maxWait = 100 * time.Millisecond
 
+	// maxWaitShare is the share of a route's objective for which its flows wait at most. The
+	// limits on the queue at the link leave half of the objective for the rest.
+	maxWaitShare = 0.25
+
 	// maxWaiting limits the waiting flows.
 	maxWaiting = 256
 )
@@ -22,8 +26,8 @@
 type waitingFlow struct {
 	key     flow.Key
 	route   *routeState
-	account *account // of its caller, charged
-	since   time.Time
+	account *account  // of its caller, charged
+	due     time.Time // when it is refused at the latest
 }
 
 // enqueue adds a flow behind those of the same or a more urgent priority.
@@ -49,7 +53,7 @@
 		return first.key, Take, true
 	}
 	for i, w := range c.waiting {
-		if now.Sub(w.since) >= maxWait {
+		if !now.Before(w.due) {
 			c.waiting = slices.Delete(c.waiting, i, i+1)
 			w.account.charge(-w.route.expected()) // it did not get what it was charged for
 			return w.key, Refuse, true
@@ -63,11 +67,16 @@
 	if c == nil || len(c.waiting) == 0 {
 		return time.Time{}, false
 	}
-	oldest := c.waiting[0].since
+	due := c.waiting[0].due
 	for _, w := range c.waiting[1:] {
-		if w.since.Before(oldest) {
-			oldest = w.since
+		if w.due.Before(due) {
+			due = w.due
 		}
 	}
-	return oldest.Add(maxWait), true
+	return due, true
+}
+
+// maxWait returns the longest time that a new flow of the route waits for room.
+func (s *routeState) maxWait() time.Duration {
+	return min(maxWait, time.Duration(maxWaitShare*float64(s.objectiveOrDefault())))
 }
