Refuse no waiting flow that may be open elsewhere

A flow that waited for the link was refused whenever the process came to it. Without processor time for 400 ms, the caller had sent copies after 200 ms, and the reset ended a flow that was open through another balancer.

A fixed bound of 120 ms was ruled out: TestACopyThatFollowsARefusalOpensNoFlow has waiting flows of 150 ms on a link without delay and wants none of them placed.

TestAFlowThatIsOlderThanACopyIsNotReset failed before and passes now.

--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -60,12 +60,19 @@
 	packets := r.heldPackets
 	r.heldPackets = nil
 	for i := range packets {
-		p := &packets[i].packet
-		if age := now.Sub(packets[i].heldAt); age >= copyDelay {
-			p.SinceFirstSent = max(p.SinceFirstSent, age)
-		}
-		r.routeCallerPacket(now, packets[i].key, p)
+		packets[i].markCopy(now)
+		r.routeCallerPacket(now, packets[i].key, &packets[i].packet)
+	}
+}
+
+// markCopy marks an opening packet that was held for so long that it may have a copy at
+// another balancer, and returns for how long a packet was held.
+func (h *heldPacket) markCopy(now time.Time) time.Duration {
+	age := now.Sub(h.heldAt)
+	if age >= copyDelay && h.packet.IsOpening() {
+		h.packet.SinceFirstSent = max(h.packet.SinceFirstSent, age)
 	}
+	return age
 }
 
 // canPlaceFlows reports whether enough is known for placing new flows: the
