Refuse copies of refused flows instead of opening them

A copy of an opening packet that was under way when the balancer refused the flow was placed like any copy. It opened a flow that its caller had given up, which counted on the link for 900 ms. Refusals are now remembered for 1.4 s, at most 4,096, with the sequence number, so that a new flow from the same port is decided on anew. Copies get another reset, in case the first was lost; a second copy without the first is dropped, since another balancer may have placed the first after a change of the rotation. They have a reason of their own, so that refusals are counted once.

TestACopyThatFollowsARefusalOpensNoFlow failed before and passes now.

--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -70,8 +70,9 @@
 	NotFoundAgentsUnknown  Reason = "notFoundAgentsUnknown"
 	NotFoundAgentSilent    Reason = "notFoundAgentSilent"
 
-	LinkQueued Reason = "linkQueued" // new flow; waits until the link can carry it
-	LinkBusy   Reason = "linkBusy"   // new flow; the link cannot carry it in time
+	LinkQueued    Reason = "linkQueued"    // new flow; waits until the link can carry it
+	LinkBusy      Reason = "linkBusy"      // new flow; the link cannot carry it in time
+	LinkBusyAgain Reason = "linkBusyAgain" // copy of the opening packet of a flow that was refused with LinkBusy
 
 	Malformed Reason = "malformed" // the packet could not be parsed
 )
--- a/internal/coordination/steer/intake.go
+++ b/internal/coordination/steer/intake.go
@@ -28,7 +28,7 @@
 	}
 	switch r.intake.Admit(now, p, route) {
 	case intake.Refuse:
-		r.refuseForLink(key, route)
+		r.refuseForLink(now, key, p, route.Priority)
 		return false
 	case intake.Wait:
 		stored := *p
@@ -40,10 +40,6 @@
 	return true
 }
 
-func (r *Router) refuseForLink(key flow.Key, route *config.Route) {
-	r.actions = append(r.actions, Action{Kind: Reset, Reason: LinkBusy, Key: key, Priority: route.Priority})
-}
-
 // placeWaiting places the waiting flows for which the link has room, and refuses those
 // that have waited for too long. Those that are too old for a refusal are placed as copies.
 func (r *Router) placeWaiting(now time.Time) {
@@ -64,7 +60,7 @@
 		svc := r.services[route.PickService(key.Hash())]
 		switch {
 		case verdict == intake.Refuse && age <= r.maxRefusalAge():
-			r.refuseForLink(key, route)
+			r.refuseForLink(now, key, &held.packet, route.Priority)
 		case svc == nil || len(svc.eligible) == 0:
 			r.intake.Forget(key)
 			r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -108,7 +108,7 @@
 	if o := r.pendingOpens[key]; o != nil {
 		return // Tick sends the pending opening packet to the next agent when it times out
 	}
-	if _, waiting := r.waitingOpens[key]; waiting {
+	if _, waiting := r.waitingOpens[key]; waiting || r.refuseAgain(now, key, p) {
 		return
 	}
 
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -8,6 +8,8 @@
 import (
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/coriandershift/coriandershift/internal/coordination/intake"
 	"github.com/coriandershift/coriandershift/internal/coordination/pick"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
@@ -95,6 +97,9 @@
 	// waitingOpens are the opening packets of new flows that wait for room on the link.
 	waitingOpens map[flow.Key]heldPacket
 
+	// refused are the flows that were refused for the link.
+	refused *simplelru.LRU[flow.Key, refusal]
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
@@ -148,7 +153,9 @@
 // New returns a Router for the balancer at the address self in a failure domain,
 // started at now.
 func New(self flow.Endpoint, domain string, now time.Time, options ...Option) *Router {
+	refused, _ := simplelru.NewLRU[flow.Key, refusal](maxRefused, nil) // fails only for a size below 1
 	r := &Router{
+		refused:        refused,
 		policy:         pick.DefaultPolicy,
 		cfg:            &config.Config{},
 		started:        now,
