Refuse flows only while opening packets arrive promptly

A packet without SinceFirstSent is the first copy, not a young one: it may have waited for over 200 ms at the link in, or in the socket of a process without processor time, while another balancer placed its copy. A reset was then not truthful. Now a heavy flow is refused only while its age and the average delay of notices are below 180 ms, no tick for opening packets is or was late in the last 100 ms, and the link does not count as slow. Otherwise a flow that is taken is marked MaybeDuplicate, and one that the link cannot carry is dropped without a reset, with its copies until there is room. Its reason is linkLate.

Ruled out: placing such flows as copies.

oldestOpen is set anew if no opening packet is pending: ticks counted as late otherwise.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -89,6 +89,15 @@
 	return verdict
 }
 
+// IsHeavy reports whether Admit may let new flows of the route of an address wait, or refuse them.
+func (c *Control) IsHeavy(address flow.Endpoint) bool {
+	if c == nil {
+		return false
+	}
+	s := c.routes[address]
+	return s != nil && s.isHeavy()
+}
+
 // begin counts the transfer of a new flow.
 func (c *Control) begin(now time.Time, key flow.Key, s *routeState, a *account) {
 	if len(c.transfers) >= maxTransfers {
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -73,6 +73,7 @@
 	LinkQueued    Reason = "linkQueued"    // new flow; waits until the link can carry it
 	LinkBusy      Reason = "linkBusy"      // new flow; the link cannot carry it in time
 	LinkBusyAgain Reason = "linkBusyAgain" // copy of the opening packet of a flow that was refused with LinkBusy
+	LinkLate      Reason = "linkLate"      // new flow; the link cannot carry it in time, and another balancer may have placed it
 
 	Malformed Reason = "malformed" // the packet could not be parsed
 )
--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -27,6 +27,9 @@
 	key    flow.Key
 	packet flow.Packet
 	heldAt time.Time
+
+	// maybeCopied says that another balancer may have got a copy before the packet came here.
+	maybeCopied bool
 }
 
 // hold stores a copy of a packet that arrived just after the start, and reports
--- a/internal/coordination/steer/intake.go
+++ b/internal/coordination/steer/intake.go
@@ -18,22 +18,30 @@
 	refusalMargin = 20 * time.Millisecond
 )
 
+// maybeCopied reports whether another balancer may have got a copy of the opening packet
+// of a new flow. A first packet may have been repeated if it waited in this process's
+// socket or took long to arrive, which matters for flows that the link may not carry.
+func (r *Router) maybeCopied(now time.Time, p *flow.Packet) bool {
+	return p.SinceFirstSent > 0 || r.intake.IsHeavy(p.Destination) && (r.ticksLate(now) || !r.mayRefuse(now, 0))
+}
+
 // admitToLink reports whether a new flow may be placed now. If the link cannot carry it,
-// the flow waits or is refused. Copies of an opening packet are always placed: another
-// balancer may have placed the first.
-func (r *Router) admitToLink(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) bool {
-	if p.SinceFirstSent > 0 {
-		r.intake.Observe(now, p, route)
-		return true
-	}
+// the flow waits or is refused, or dropped if another balancer may have placed it. The
+// packet must be the first, or a copy of one that was dropped here: other copies are
+// always placed.
+func (r *Router) admitToLink(now time.Time, key flow.Key, p *flow.Packet, route *config.Route, maybeCopied bool) bool {
 	switch r.intake.Admit(now, p, route) {
 	case intake.Refuse:
+		if maybeCopied {
+			r.dropForLink(now, key, p)
+			return false
+		}
 		r.refuseForLink(now, key, p, route.Priority)
 		return false
 	case intake.Wait:
 		stored := *p
 		stored.Raw = slices.Clone(p.Raw)
-		r.waitingOpens[key] = heldPacket{key: key, packet: stored, heldAt: now}
+		r.waitingOpens[key] = heldPacket{key: key, packet: stored, heldAt: now, maybeCopied: maybeCopied}
 		r.actions = append(r.actions, Action{Kind: Hold, Reason: LinkQueued, Key: key})
 		return false
 	}
@@ -59,26 +67,27 @@
 		}
 		svc := r.services[route.PickService(key.Hash())]
 		switch {
-		case verdict == intake.Refuse && age <= r.maxRefusalAge():
+		case verdict == intake.Refuse && (held.maybeCopied || !r.mayRefuse(now, 0)):
+			r.dropForLink(now, key, &held.packet)
+		case verdict == intake.Refuse && r.mayRefuse(now, age):
 			r.refuseForLink(now, key, &held.packet, route.Priority)
 		case svc == nil || len(svc.eligible) == 0:
 			r.intake.Forget(key)
 			r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
 		default:
 			if verdict == intake.Refuse {
-				held.packet.SinceFirstSent = max(held.packet.SinceFirstSent, age)
 				r.intake.Observe(now, &held.packet, route)
 			}
-			r.place(now, key, &held.packet, route, svc)
+			r.place(now, key, &held.packet, route, svc, verdict == intake.Refuse || held.maybeCopied || held.packet.SinceFirstSent > 0)
 		}
 	}
 }
 
-// maxRefusalAge returns the time after its arrival for which a flow may be refused. Later,
-// a copy of its opening packet may have opened it through another balancer. The packet took
-// about as long to arrive as a notice does.
-func (r *Router) maxRefusalAge() time.Duration {
-	return firstCopyDelay - refusalMargin - r.noticeDelay
+// mayRefuse reports whether a flow may be refused at a time after its arrival. Later, a copy
+// of its opening packet may have opened it through another balancer. The packet took about
+// as long to arrive as a notice does, and any time if the link is slow.
+func (r *Router) mayRefuse(now time.Time, age time.Duration) bool {
+	return age+r.noticeDelay <= firstCopyDelay-refusalMargin && !r.linkSlow(now)
 }
 
 // OutstandingBytes returns how many bytes of unfinished uploads are still expected by the
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -117,18 +117,21 @@
 		r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
 		return
 	}
-	if !r.admitToLink(now, key, p, route) {
+	maybeCopied := r.maybeCopied(now, p)
+	if p.SinceFirstSent > 0 && !r.wasDropped(now, key, p) {
+		r.intake.Observe(now, p, route)
+	} else if !r.admitToLink(now, key, p, route, maybeCopied) {
 		return
 	}
-	r.place(now, key, p, route, svc)
+	r.place(now, key, p, route, svc, maybeCopied)
 }
 
 // place sends the opening packet of a new flow to an agent of a service that has some
-// that are eligible.
-func (r *Router) place(now time.Time, key flow.Key, p *flow.Packet, route *config.Route, svc *service) {
+// that are eligible. maybeCopied says that another balancer may have placed the flow.
+func (r *Router) place(now time.Time, key flow.Key, p *flow.Packet, route *config.Route, svc *service, maybeCopied bool) {
 	chosen, direct := r.rankCandidates(now, key.Hash(), svc)
 	envelope := r.envelope(route, key, true)
-	envelope.MaybeDuplicate = p.SinceFirstSent > 0
+	envelope.MaybeDuplicate = maybeCopied
 	reason := Placed
 	if direct {
 		envelope.WaitHere = true
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -35,6 +35,10 @@
 	// have lacked processor time, so that notices may wait unread.
 	lateTickThreshold = 20 * time.Millisecond
 
+	// lateTickPeriod is the time after a late tick within which the packets that waited in
+	// the socket are handled.
+	lateTickPeriod = 100 * time.Millisecond
+
 	// maxFlows limits the cached flows, of about 100 bytes each.
 	maxFlows = 65536
 
@@ -97,7 +101,7 @@
 	// waitingOpens are the opening packets of new flows that wait for room on the link.
 	waitingOpens map[flow.Key]heldPacket
 
-	// refused are the flows that were refused for the link.
+	// refused are the flows that were refused or dropped for the link.
 	refused *simplelru.LRU[flow.Key, refusal]
 
 	cfg         *config.Config
@@ -145,6 +149,7 @@
 	synced           bool // a balancer that knows all members has the same list as this one
 	converged        bool // the list of agents is taken as complete
 	lastTick         time.Time
+	lateTickAt       time.Time // the latest tick that came late for an opening packet
 
 	lastSweep time.Time
 	actions   []Action
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -10,20 +10,27 @@
 	if r.searchesActive || len(r.heldPackets) > 0 {
 		due = r.lastTick.Add(queryInterval)
 	}
-	if len(r.pendingOpens) > 0 {
-		if at := r.oldestOpen.Add(r.openTimeout()); due.IsZero() || at.Before(due) {
-			due = at
-		}
-	}
-	if at, waiting := r.intake.NextDue(); waiting && (due.IsZero() || at.Before(due)) {
+	if at, pending := r.nextOpenDue(); pending && (due.IsZero() || at.Before(due)) {
 		due = at
 	}
 	return due, !due.IsZero()
 }
 
+// nextOpenDue returns when Tick is due for an opening packet that has no notice or waits
+// for the link, and false if there is none.
+func (r *Router) nextOpenDue() (time.Time, bool) {
+	due, pending := r.intake.NextDue()
+	if len(r.pendingOpens) > 0 {
+		if at := r.oldestOpen.Add(r.openTimeout()); !pending || at.Before(due) {
+			due, pending = at, true
+		}
+	}
+	return due, pending
+}
+
 // recordOpenSent updates oldestOpen for an opening packet that is sent now.
 func (r *Router) recordOpenSent(now time.Time) {
-	if r.oldestOpen.IsZero() {
+	if r.oldestOpen.IsZero() || len(r.pendingOpens) == 0 {
 		r.oldestOpen = now
 	}
 }
@@ -35,6 +42,9 @@
 func (r *Router) Tick(now time.Time) []Action {
 	r.actions = r.actions[:0]
 	delay := r.tickDelay(now)
+	if r.isTickOverdue(now) {
+		r.lateTickAt = now
+	}
 	r.lastTick = now
 	r.probeAbsent(now)
 	r.checkConverged(now)
@@ -73,6 +83,19 @@
 	return 0
 }
 
+// isTickOverdue reports whether a tick for opening packets should have happened more than
+// lateTickThreshold ago.
+func (r *Router) isTickOverdue(now time.Time) bool {
+	due, pending := r.nextOpenDue()
+	return pending && now.Sub(due) > lateTickThreshold
+}
+
+// ticksLate reports whether this process lacks processor time or did so just now, so that
+// packets may have waited in its socket.
+func (r *Router) ticksLate(now time.Time) bool {
+	return now.Sub(r.lateTickAt) < lateTickPeriod || r.isTickOverdue(now)
+}
+
 func (r *Router) openTimeout() time.Duration {
 	return min(max(minOpenTimeout, openTimeoutFactor*r.noticeDelay), maxOpenTimeout)
 }
