Count a new flow from the port of a finished one

A finished transfer is kept until 900 ms after its last packet. A new flow on the same key whose first opening packet went to another balancer arrives as a copy, and was not counted as long. The sequence number of the opening packet now tells it from a late copy of the old one.

New: TestANewFlowFromThePortOfAFinishedOneCounts, whose first case failed before.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -78,10 +78,10 @@
 	key := p.KeyFromCaller()
 	var verdict Verdict
 	if s.isHeavy() {
-		verdict = c.decide(now, key, s)
+		verdict = c.decide(now, key, p.Sequence, s)
 	} else {
 		verdict = Take
-		c.begin(now, key, s, nil)
+		c.begin(now, key, p.Sequence, s, nil)
 	}
 	if verdict != Refuse {
 		s.other.add(now, packetSize(p))
@@ -98,14 +98,14 @@
 	return s != nil && s.isHeavy()
 }
 
-// begin counts the transfer of a new flow.
-func (c *Control) begin(now time.Time, key flow.Key, s *routeState, a *account) {
+// begin counts the transfer of a new flow, whose opening packet has the number sequence.
+func (c *Control) begin(now time.Time, key flow.Key, sequence uint32, s *routeState, a *account) {
 	if len(c.transfers) >= maxTransfers {
 		return
 	}
 	c.Forget(key)
 	t := newTransfer(s, a, true)
-	t.lastPacket = now
+	t.lastPacket, t.openingSequence = now, sequence
 	c.transfers[key] = t
 }
 
@@ -119,12 +119,19 @@
 	size := packetSize(p)
 	key := p.KeyFromCaller()
 	t := c.transfers[key]
+	if t != nil && t.finished && p.IsOpening() && p.Sequence != t.openingSequence {
+		c.Forget(key) // another flow from the same port
+		t = nil
+	}
 	if t == nil {
 		if !p.IsOpening() && p.DataLength == 0 || p.Reset || len(c.transfers) >= maxTransfers {
 			s.other.add(now, size)
 			return
 		}
 		t = newTransfer(s, nil, p.IsOpening())
+		if p.IsOpening() {
+			t.openingSequence = p.Sequence
+		}
 		c.transfers[key] = t
 	}
 	t.lastPacket = now
--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -83,7 +83,7 @@
 }
 
 // decide returns what becomes of a caller's new flow of a heavy route.
-func (c *Control) decide(now time.Time, key flow.Key, s *routeState) Verdict {
+func (c *Control) decide(now time.Time, key flow.Key, sequence uint32, s *routeState) Verdict {
 	l := c.loadAhead(now, s.priority)
 	cl := c.class(s.priority)
 	a := cl.account(now, key.Caller.IP)
@@ -107,10 +107,10 @@
 	case share < 1:
 	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s):
 		verdict = Wait
-		c.enqueue(&waitingFlow{key: key, route: s, account: a, due: now.Add(s.maxWait())})
+		c.enqueue(&waitingFlow{key: key, sequence: sequence, route: s, account: a, due: now.Add(s.maxWait())})
 	}
 	if verdict == Take {
-		c.begin(now, key, s, a)
+		c.begin(now, key, sequence, s, a)
 	} else if withinShare {
 		cl.contendedAt = now
 	}
--- a/internal/coordination/intake/transfer.go
+++ b/internal/coordination/intake/transfer.go
@@ -45,6 +45,9 @@
 	acknowledged uint32
 	hasData      bool
 
+	// openingSequence is the sequence number of the flow's opening packet, 0 if it was not seen.
+	openingSequence uint32
+
 	// finished says that the caller has ended the flow.
 	finished bool
 }
--- a/internal/coordination/intake/wait.go
+++ b/internal/coordination/intake/wait.go
@@ -24,10 +24,11 @@
 
 // waitingFlow is a new flow of a heavy route that waits for room.
 type waitingFlow struct {
-	key     flow.Key
-	route   *routeState
-	account *account  // of its caller, charged
-	due     time.Time // when it is refused at the latest
+	key      flow.Key
+	sequence uint32 // of its opening packet
+	route    *routeState
+	account  *account  // of its caller, charged
+	due      time.Time // when it is refused at the latest
 }
 
 // enqueue adds a flow behind those of the same or a more urgent priority.
@@ -49,7 +50,7 @@
 	first := c.waiting[0]
 	if l := c.loadAhead(now, first.route.priority); l.inFlight == 0 || l.hasRoom(first.route, 1) {
 		c.waiting = slices.Delete(c.waiting, 0, 1)
-		c.begin(now, first.key, first.route, first.account)
+		c.begin(now, first.key, first.sequence, first.route, first.account)
 		return first.key, Take, true
 	}
 	for i, w := range c.waiting {
