--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -72,21 +72,18 @@
 	return l.endsInTime(s, l.outstanding, share) && l.inFlight+s.inFlight() <= share*l.rate*maxQueueDelay.Seconds()
 }
 
-// hasRoomToWait reports whether a transfer of a route can begin within maxWait and end in time.
+// hasRoomToWait reports whether a transfer of a route can begin within its
+// longest wait and end in time.
 func (l *linkLoad) hasRoomToWait(s *routeState) bool {
-	return l.endsInTime(s, l.outstanding+l.waiting, 1) && l.waiting+s.expected() <= l.rate*maxWait.Seconds()
+	return l.endsInTime(s, l.outstanding+l.waiting, 1) && l.waiting+s.expected() <= l.rate*s.maxWait().Seconds()
 }
 
 func (l *linkLoad) endsInTime(s *routeState, ahead, share float64) bool {
-	objective := s.objective
-	if objective == 0 {
-		objective = defaultObjective
-	}
-	return ahead+s.expected() <= share*objectiveShare*objective.Seconds()*l.rate
+	return ahead+s.expected() <= share*objectiveShare*s.objectiveOrDefault().Seconds()*l.rate
 }
 
 // decide returns what becomes of a caller's new flow of a heavy route.
-func (c *Control) decide(now time.Time, key flow.Key, s *routeState) Verdict {
+func (c *Control) decide(now time.Time, key flow.Key, sequence uint32, s *routeState) Verdict {
 	l := c.loadAhead(now, s.priority)
 	cl := c.class(s.priority)
 	a := cl.account(now, key.Caller.IP)
@@ -105,15 +102,15 @@
 	switch {
 	case l.waiting == 0 && l.hasRoom(s, share):
 		verdict = Take
-	case share < 1:
 	case l.waiting == 0 && l.inFlight == 0:
 		verdict = Take // too large for the link at any time
+	case share < 1:
 	case len(c.waiting) < maxWaiting && l.hasRoomToWait(s):
 		verdict = Wait
-		c.enqueue(&waitingFlow{key: key, route: s, account: a, since: now})
+		c.enqueue(&waitingFlow{key: key, sequence: sequence, route: s, account: a, due: now.Add(s.maxWait())})
 	}
 	if verdict == Take {
-		c.begin(now, key, s, a)
+		c.begin(now, key, sequence, s, a)
 	} else if withinShare {
 		cl.contendedAt = now
 	}
--- a/internal/coordination/intake/route.go
+++ b/internal/coordination/intake/route.go
@@ -79,6 +79,13 @@
 	return max(s.reportedSize, s.largest)
 }
 
+func (s *routeState) objectiveOrDefault() time.Duration {
+	if s.objective == 0 {
+		return defaultObjective
+	}
+	return s.objective
+}
+
 func (s *routeState) isHeavy() bool {
 	return s.expected() > maxLightSize
 }
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -32,6 +32,7 @@
 	case fwdmsg.DelegatedReply:
 		r.handleDelegatedReply(now, e, payload)
 	}
+	r.placeWaiting(now)
 	return r.actions
 }
 
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/coriandershift/coriandershift/internal/coordination/intake"
 	"github.com/coriandershift/coriandershift/internal/coordination/pick"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
@@ -35,6 +37,10 @@
 	// have lacked processor time, so that notices may wait unread.
 	lateTickThreshold = 20 * time.Millisecond
 
+	// lateTickPeriod is the time after a late tick within which the packets that waited in
+	// the socket are handled.
+	lateTickPeriod = 100 * time.Millisecond
+
 	// maxFlows limits the cached flows, of about 100 bytes each.
 	maxFlows = 65536
 
@@ -98,6 +104,9 @@
 	// waitingOpens are the opening packets of new flows that wait for room on the link.
 	waitingOpens map[flow.Key]heldPacket
 
+	// refused are the flows that were refused or dropped for the link.
+	refused *simplelru.LRU[flow.Key, refusal]
+
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
@@ -145,6 +154,7 @@
 	synced           bool // a balancer that knows all members has the same list as this one
 	converged        bool // the list of agents is taken as complete
 	lastTick         time.Time
+	lateTickAt       time.Time // the latest tick that came late for an opening packet
 
 	lastSweep time.Time
 	actions   []Action
@@ -153,7 +163,9 @@
 // New returns a Router for the balancer at the address self in a failure domain,
 // started at now.
 func New(self flow.Endpoint, domain string, now time.Time, options ...Option) *Router {
+	refused, _ := simplelru.NewLRU[flow.Key, refusal](maxRefused, nil) // fails only for a size below 1
 	r := &Router{
+		refused:        refused,
 		policy:         pick.DefaultPolicy,
 		cfg:            &config.Config{},
 		started:        now,
