--- a/internal/coordination/intake/control_test.go
+++ b/internal/coordination/intake/control_test.go
@@ -190,7 +190,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := intake.New(linkRate)
-			c.Learn(flow.EndpointOf(uploads.Address), uploads, test.size)
+			c.Learn(start, flow.EndpointOf(uploads.Address), uploads, test.size)
 			late := 0
 			for caller := range byte(100) {
 				if c.Admit(start, openingOf(uploads, caller, 9), uploads) != intake.Take {
--- a/internal/coordination/intake/route.go
+++ b/internal/coordination/intake/route.go
@@ -108,11 +108,12 @@
 // Learn takes the mean size of a route's requests in bytes, as an agent reports it; 0 is
 // not known. It counts until a transfer of the route has ended here, so that a balancer
 // that has just started knows heavy routes from their first flow on.
-func (c *Control) Learn(address flow.Endpoint, route *config.Route, size int) {
+func (c *Control) Learn(now time.Time, address flow.Endpoint, route *config.Route, size int) {
 	if c == nil || size == 0 {
 		return
 	}
 	s := c.state(address, route)
+	s.other.add(now, 0) // the route is in use
 	packets := (size + maxData - 1) / maxData
 	s.reportedSize = float64(size + packets*(fullPacket-maxData))
 }
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -49,7 +49,7 @@
 	delete(r.pendingOpens, key)
 	delete(r.searches, key)
 	if route := r.routes[key.Service]; route != nil {
-		r.intake.Learn(key.Service, route, int(e.RequestSize)*fwdmsg.RequestSizeUnit)
+		r.intake.Learn(now, key.Service, route, int(e.RequestSize)*fwdmsg.RequestSizeUnit)
 	}
 	if e.Refused {
 		delete(r.flows, key)
