Drop openings whose callers have left, and count a missed notice once

Cause: on a link that is taken for slow, an opening without a notice for 1.4 s went to the next agent, after its caller had given up, and again 1.4 s later to each further one: 365 copies in three seconds with 100 openings a second (TestNoCopiesOfOpeningsThatCallersHave- GivenUp, failed first). A copy that waited for the budget counted one more missed notice of its agent every 60 ms, so that one lost notice made the agent suspected for up to 4 s (TestACopyThatWaitsForTheBudgetCountsAsOneMissedNotice, failed first).

--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -22,9 +22,6 @@
 	suspectPeriod       = time.Second
 	maxSuspectDoublings = 2
 
-	// callerOpenTimeout is the time after which callers give up a flow that is not open.
-	callerOpenTimeout = 1400 * time.Millisecond
-
 	// maxRanked is the number of highest ranked agents among which those that are not
 	// suspected are chosen from.
 	maxRanked = 4 * pick.MaxChoices
@@ -153,25 +150,6 @@
 	r.send(Action{Reason: reason, Key: key, To: first.endpoint, Envelope: envelope, Packet: p.Raw, Load: load, LoadAge: age})
 }
 
-// handleSilence handles an opening packet for which its agent sent no notice in time.
-// It goes to the next agent unless the link is the likely cause: then the agent has the
-// flow, and a copy would open it a second time. The caller repeats the packet if it is lost.
-func (r *Router) handleSilence(now time.Time, key flow.Key, o *pendingOpen) {
-	o.late = true
-	a := r.agents[o.agent]
-	if a != nil {
-		a.missedNoticeAt = now
-	}
-	if r.linkSlow(now) && now.Sub(o.placedAt) < callerOpenTimeout {
-		o.sentAt = now
-		return
-	}
-	if a != nil {
-		a.recordMissedNotice(now)
-	}
-	r.tryNextAgent(now, key, o)
-}
-
 // tryNextAgent sends a timed-out opening packet to the next ranked agent, or gives
 // it up if none is left. Without budget for a copy it waits for another timeout.
 func (r *Router) tryNextAgent(now time.Time, key flow.Key, o *pendingOpen) {
@@ -181,12 +159,12 @@
 	}
 	next, ok := o.envelope.PopRank()
 	if !ok {
-		delete(r.pendingOpens, key)
-		delete(r.flows, key)
+		r.endOpening(key)
 		return
 	}
 	o.envelope.MaybeDuplicate = true
 	o.agent, o.sentAt, o.placedAt, o.late = next, now, now, false
+	o.counted = false
 	r.recordOpenSent(now)
 	if known := r.flows[key]; known != nil {
 		known.agent = next
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -74,6 +74,7 @@
 	sentAt   time.Time // to agent; moved on when a timeout is extended
 	placedAt time.Time // when it was first sent to agent
 	late     bool      // agent has missed the timeout
+	counted  bool      // it counts as a missed notice of agent
 	packet   []byte
 	envelope fwdmsg.Envelope
 	agent    flow.Endpoint
