Leave a pause of the balancer out of the delay of notices

Cause: since the delay counts from placedAt, which a late tick did not move on as it moves sentAt, so that behaviour changed also without a link rate: after a pause of 0.4 s with three notices unread, an opening waited 200 ms for its notice instead of about 80 (TestAPauseDoesNotCountAsADelayOfNotices, failed first). Change: a late tick moves both.

--- a/internal/coordination/steer/silence_test.go
+++ b/internal/coordination/steer/silence_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/steer"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
 // The load is a link that stays full for four seconds, so that no notice arrives. Callers
@@ -65,3 +66,26 @@
 	}
 	t.Error("the agent gets no more flows after one missed notice")
 }
+
+// This process is paused, so that it reads notices late. The timeout of later openings must
+// hardly grow by that.
+func TestAPauseDoesNotCountAsADelayOfNotices(t *testing.T) {
+	r := narrowRouter()
+	now := start
+	sent := map[uint16]flow.Endpoint{}
+	for port := uint16(100); port < 103; port++ {
+		sent[port] = r.HandleCallerPacket(now, opening(port))[0].To
+	}
+	now = now.Add(400 * time.Millisecond)
+	r.Tick(now)
+	for port, to := range sent {
+		p := opening(port)
+		r.HandleAgentMessage(now, noticeFrom(p, to), p.KeyFromCaller().Append(nil), parse)
+	}
+	r.Tick(now.Add(10 * time.Millisecond))
+	now = now.Add(time.Second)
+	r.HandleCallerPacket(now, opening(1000))
+	if due, _ := r.NextTick(); due.Sub(now) > 100*time.Millisecond {
+		t.Errorf("an opening waits %v for its notice after a pause", due.Sub(now))
+	}
+}
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -67,7 +67,7 @@
 	var silent []flow.Key
 	for key, o := range r.pendingOpens {
 		if delay > 0 {
-			o.sentAt = o.sentAt.Add(delay)
+			o.sentAt, o.placedAt = o.sentAt.Add(delay), o.placedAt.Add(delay)
 		} else if now.Sub(o.sentAt) >= r.openTimeout() {
 			silent = append(silent, key)
 		}
