Cover the payload of delegated queries by the tag

Cause: the tag of an envelope does not cover the payload. A DelegatedQuery is the first message whose payload names receivers: whoever has seen one could send its envelope with other addresses, so that the agent sends each of 100 of them two datagrams of up to 600 bytes, for one of 1,200. Its reply stands for up to 100 agents. Change: the tags of both cover the payload; those of all other kinds are as before (TestADelegatedMessageWithAnotherPayloadIs- Forged failed first). Not changed: a whole captured message can be sent again; the limit of 64 delegations per 200 ms bounds that.

--- a/internal/protocol/fwdmsg/delegation_test.go
+++ b/internal/protocol/fwdmsg/delegation_test.go
@@ -177,3 +177,20 @@
 		}
 	})
 }
+
+// The payload names the agents to which the receiver sends messages.
+func TestADelegatedMessageWithAnotherPayloadIsForged(t *testing.T) {
+	d := delegation(2, 1)
+	for name, kind := range map[string]fwdmsg.Kind{"query": fwdmsg.DelegatedQuery, "reply": fwdmsg.DelegatedReply} {
+		t.Run(name, func(t *testing.T) {
+			datagram := codec.Append(nil, &fwdmsg.Envelope{Kind: kind}, written(&d))
+			if _, _, err := codec.Open(datagram); err != nil {
+				t.Fatal(err)
+			}
+			datagram[len(datagram)-1]++
+			if _, _, err := codec.Open(datagram); !errors.Is(err, fwdmsg.ErrForged) {
+				t.Errorf("got %v, want %v", err, fwdmsg.ErrForged)
+			}
+		})
+	}
+}
--- a/internal/protocol/fwdmsg/fwdmsg.go
+++ b/internal/protocol/fwdmsg/fwdmsg.go
@@ -18,11 +18,13 @@
 //	bytes 42-43  mean duration
 //	byte 44      unanswered percent
 //	6 each       IPv4 address and port of the ranks, the agents to try next
-//	8 bytes      SipHash tag over all of the above
+//	8 bytes      SipHash tag over all of the above; for delegated queries and their
+//	             replies also over the payload
 package fwdmsg
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/dchest/siphash"
 	"github.com/pkg/errors"
@@ -159,7 +161,8 @@
 }
 
 // Codec writes and reads envelopes. The tag tells envelopes from other datagrams. It
-// does not cover the payload; a caller's packet is checked by the ends of its flow.
+// covers the payload only of a DelegatedQuery, which names the receivers of messages, and
+// of its reply; a caller's packet is checked by the ends of its flow.
 type Codec struct {
 	k0, k1 uint64
 }
@@ -189,10 +192,20 @@
 		dst = appendEndpoint(dst, rank)
 	}
 
-	dst = binary.BigEndian.AppendUint64(dst, siphash.Hash(c.k0, c.k1, dst[start:]))
+	dst = binary.BigEndian.AppendUint64(dst, c.tag(dst[start:], payload))
 	return append(dst, payload...)
 }
 
+// tag returns the tag for an encoded envelope.
+func (c *Codec) tag(envelope, payload []byte) uint64 {
+	switch Kind(envelope[0]) {
+	case DelegatedQuery, DelegatedReply:
+		digest := siphash.Hash(c.k0, c.k1, payload)
+		envelope = binary.BigEndian.AppendUint64(slices.Clone(envelope), digest)
+	}
+	return siphash.Hash(c.k0, c.k1, envelope)
+}
+
 // Open reads an envelope and returns the payload, which aliases the datagram.
 func (c *Codec) Open(datagram []byte) (Envelope, []byte, error) {
 	if len(datagram) < fixedLength+tagLength {
@@ -210,12 +223,12 @@
 	if len(datagram) < end+tagLength {
 		return Envelope{}, nil, ErrTruncated
 	}
-	if siphash.Hash(c.k0, c.k1, datagram[:end]) != binary.BigEndian.Uint64(datagram[end:]) {
+	payload := datagram[end+tagLength:]
+	if c.tag(datagram[:end], payload) != binary.BigEndian.Uint64(datagram[end:]) {
 		return Envelope{}, nil, ErrForged
 	}
 
 	e.decode(datagram)
-	payload := datagram[end+tagLength:]
 	if e.Kind == Notice && len(payload) != flow.KeyLength {
 		return Envelope{}, nil, ErrTruncated
 	}
