Repeat questions only while a flow of their query is sought

Cause: a query goes on after all its flows are found, and after 100 ms its questions were repeated to all agents that had not replied: 59 of 60 for one flow, on a link that delays replies (TestQuestionsAreNotRepeatedOnceTheFlowIsFound, failed first). Change: no repeats for a query that no search awaits, also without a link rate, where the replies changed nothing.

--- a/internal/coordination/steer/asking_test.go
+++ b/internal/coordination/steer/asking_test.go
@@ -102,3 +102,31 @@
 	}
 	return nil, now
 }
+
+func TestQuestionsAreNotRepeatedOnceTheFlowIsFound(t *testing.T) {
+	r := narrowRouter(steer.WithLinkRate(narrowLink))
+	now := start
+	r.HandleCallerPacket(now, data(1))
+	var queries []steer.Action
+	for len(queries) == 0 {
+		now = now.Add(50 * time.Millisecond)
+		for _, a := range r.Tick(now) {
+			if a.Envelope.Kind == fwdmsg.Query {
+				queries = append(queries, a)
+			}
+		}
+	}
+	r.HandleAgentMessage(now, replyOf(queries[0]), []byte{byte(fwdmsg.Held)}, parse)
+	repeated := 0
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		for _, a := range r.Tick(now) {
+			if a.Envelope.Kind == fwdmsg.Query {
+				repeated++
+			}
+		}
+	}
+	if repeated > 0 {
+		t.Errorf("%d questions were repeated after the flow was found", repeated)
+	}
+}
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -48,7 +48,7 @@
 		case age >= r.replyTimeout(queryTimeout):
 			r.endQuery(id, q)
 			r.expireQuery(now, q)
-		case age >= r.replyTimeout(resendDelay) && !q.resent:
+		case age >= r.replyTimeout(resendDelay) && !q.resent && r.awaited(q):
 			r.resendQuestions(now, id, q)
 		}
 	}
