--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -11,11 +11,8 @@
 )
 
 const (
-	// serviceTimeSmoothing is the divisor of the moving average of service times: a
-	// new one has the weight 1/serviceTimeSmoothing.
-	serviceTimeSmoothing = 16
-
-	// handshakeSmoothing is the same divisor for the times of handshakes.
+	// handshakeSmoothing is the divisor of the moving average of the times of handshakes:
+	// a new one has the weight 1/handshakeSmoothing.
 	handshakeSmoothing = 16
 
 	// defaultServiceTime is the service time that is assumed until a request was answered.
@@ -38,7 +35,7 @@
 // slot, and as many as arrive during a handshake, so that no slot is idle until the caller
 // has completed it.
 func (o *Owner) maxRequests() int {
-	during := float64(o.slots()) * float64(o.meanHandshake) / float64(o.serviceTime())
+	during := float64(o.slots()) * float64(o.meanHandshake) / float64(o.slotTime())
 	return o.slots() + min(max(1, int(math.Ceil(during))), o.slots())
 }
 
@@ -69,19 +66,38 @@
 }
 
 // enqueue adds a flow to the backlog. If the flow would wait too long, it replaces a
-// waiting flow that can no longer be answered in time; if there is none, it is refused.
+// waiting flow that can no longer be answered in time, or one of a caller that has more
+// waiting flows; if there is none, it is refused.
 func (o *Owner) enqueue(now time.Time, key flow.Key, e *fwdmsg.Envelope, p *flow.Packet) {
-	if o.backlog.Len() == 0 {
+	dominant, dominates := o.backlog.Dominant(now)
+	othersWait := o.backlog.Len() > 0
+	if dominates {
+		othersWait = o.backlog.LenWithout(dominant) > 0
+	}
+	if !othersWait {
 		o.backlogEmptyAt = now
 	}
+	dominates = dominates && key.Caller.IP == dominant
+	if dominates && (othersWait || o.contended(now)) && o.backlog.HadShare(now, key.Caller.IP) {
+		o.forwardOrRefuse(now, key, e, p.Raw, Overloaded)
+		return
+	}
+
 	priority, objective := o.priorityAndObjective(key)
-	if o.expectedWait(key, priority) > o.maxExpectedWait(now, objective) {
-		evicted, ok := o.backlog.Evict(now, priority)
+	if o.expectedWait(key, priority) > o.maxExpectedWait(now, objective, dominates) {
+		if !dominates {
+			o.contendedAt = now
+		}
+		evicted, ok := o.backlog.Evict(now, priority, key.Caller.IP)
 		if !ok {
 			o.forwardOrRefuse(now, key, e, p.Raw, Overloaded)
 			return
 		}
-		o.resetCaller(evicted.Key, 0, EvictedForYounger)
+		reason := EvictedForYounger
+		if !now.After(evicted.OpenDeadline) {
+			reason = EvictedForOthers
+		}
+		o.resetCaller(evicted.Key, 0, reason)
 		o.notifyBalancer(now, evicted.Key, &evicted.Envelope, true)
 	}
 
@@ -94,6 +110,22 @@
 	o.notifyBalancer(now, key, e, false)
 }
 
+// contended reports whether flows of callers that do not dominate found no room within
+// overloadDelay.
+func (o *Owner) contended(now time.Time) bool {
+	return now.Sub(o.contendedAt) < overloadDelay
+}
+
+// hadShare reports whether a flow is not to be opened because others find no room, and its
+// caller dominates and has had the flows of an average caller.
+func (o *Owner) hadShare(now time.Time, key flow.Key) bool {
+	if !o.contended(now) || !o.backlog.HadShare(now, key.Caller.IP) {
+		return false
+	}
+	dominant, ok := o.backlog.Dominant(now)
+	return ok && dominant == key.Caller.IP
+}
+
 // priorityAndObjective returns the priority of a flow's route and the time within which
 // its requests are to be answered; both are 0 if the flow has no route.
 func (o *Owner) priorityAndObjective(key flow.Key) (int, time.Duration) {
@@ -104,12 +136,21 @@
 	return route.Priority, route.Objective.Duration()
 }
 
-// serviceTime returns the mean time of a request at the upstream.
+// slotTime returns the mean time for which a request takes a slot. A few long requests
+// count in full, unlike in serviceTime, but each moves it little.
+func (o *Owner) slotTime() time.Duration {
+	if o.serviceTimes.mean == 0 {
+		return defaultServiceTime
+	}
+	return o.serviceTimes.withTail()
+}
+
+// serviceTime returns the mean time of a request at the upstream, but for a few long ones.
 func (o *Owner) serviceTime() time.Duration {
-	if o.meanServiceTime == 0 {
+	if o.serviceTimes.mean == 0 {
 		return defaultServiceTime
 	}
-	return o.meanServiceTime
+	return o.serviceTimes.mean
 }
 
 // openWaiting opens waiting flows while the upstream has fewer than maxRequests.
--- a/internal/coordination/owner/wait.go
+++ b/internal/coordination/owner/wait.go
@@ -42,7 +42,7 @@
 // expectedWait returns how long a new flow of a priority would wait if all were served
 // in order. While no more requests may arrive, the time until one has arrived counts too.
 func (o *Owner) expectedWait(key flow.Key, priority int) time.Duration {
-	interval := o.serviceTime() / time.Duration(o.slots())
+	interval := o.slotTime() / time.Duration(o.slots())
 	if o.arrivingLimited() {
 		interval = max(interval, o.arrivalsOf(key).mean/time.Duration(len(o.arriving)))
 	}
@@ -50,14 +50,15 @@
 }
 
 // maxExpectedWait returns the limit of the expected wait for a flow with an objective;
-// objective 0 is none.
-func (o *Owner) maxExpectedWait(now time.Time, objective time.Duration) time.Duration {
+// objective 0 is none. For a caller that dominates the backlog, an overload is lasting from
+// the start: it may be the cause of it.
+func (o *Owner) maxExpectedWait(now time.Time, objective time.Duration, dominates bool) time.Duration {
 	switch {
 	case now.Sub(o.startedAt) < recoveryPeriod:
 		return recoveryMaxWait
 	case objective == 0:
 		return defaultMaxWait
-	case now.Sub(o.backlogEmptyAt) < overloadDelay:
+	case now.Sub(o.backlogEmptyAt) < overloadDelay && !dominates:
 		return max(o.openWithin(objective), objective/overloadDivisor)
 	}
 	return objective / overloadDivisor
