A hung upstream fails requests whose last packet is full

Cause: a request whose last packet was as long as a full one of its route ended as 'incomplete' at the timeout, also after the upstream had acknowledged all of it and the agent counted it as running, or while the upstream acknowledged nothing. Incomplete requests are no failures, so a hung upstream reported 0 % of failures.

Change: a request that counts as running, or whose data stays unacknowledged for quietTimeout, ends as unanswered.

Ruled out: all acknowledged requests without a gap as unanswered at once; uploads over a full link stall there.

go test ./internal/coordination/owner -run TestAHungUpstream: 0 of 2 unanswered before, 2 of 2 after.

--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -229,7 +229,7 @@
 	for key, e := range o.flows {
 		if o.requestOverdue(now, key, e) {
 			outcome := Unanswered
-			if !e.stream.complete(o.arrivalsOf(key).segment) {
+			if o.requestIncomplete(now, key, e) {
 				outcome = Incomplete
 			}
 			o.completeRequest(now, key, e, outcome)
--- a/internal/coordination/owner/fault.go
+++ b/internal/coordination/owner/fault.go
@@ -95,3 +95,13 @@
 	}
 	return now.Sub(e.requestSentAt) > timeout
 }
+
+// requestIncomplete reports whether data of a pending request is missing, so that the
+// upstream cannot have answered it. If the upstream does not acknowledge the data that it
+// was sent, the caller cannot send more.
+func (o *Owner) requestIncomplete(now time.Time, key flow.Key, e *entry) bool {
+	if e.counts == running || e.stream.complete(o.arrivalsOf(key).segment) {
+		return false
+	}
+	return e.stream.hasGap() || e.upstreamAck == e.stream.end || now.Sub(e.lastDataAt) < quietTimeout
+}
--- a/internal/coordination/owner/fault_test.go
+++ b/internal/coordination/owner/fault_test.go
@@ -102,3 +102,30 @@
 		t.Errorf("%d%% at once and %d%% after 30 s, want at least 40%% and at most 1%%", early, late)
 	}
 }
+
+// The agent used to report no failures, since the last packet might not have been the last.
+func TestAHungUpstreamFailsRequestsWhoseLastPacketIsFull(t *testing.T) {
+	tests := map[string]struct{ acknowledged int }{
+		"it acknowledges data":    {fullLength},
+		"it acknowledges nothing": {0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newServingOwner()
+			upload(o, start, 1, time.Millisecond, 20*time.Millisecond)
+			o.TakeCompletions()
+			now := start.Add(time.Second)
+			for port := uint16(2); port < 4; port++ {
+				handshake(o, now, port)
+				o.HandleBalancerPacket(now, envelope(), dataAt(port, 0, fullLength))
+				o.HandleUpstreamPacket(now, acknowledgement(port, test.acknowledged))
+			}
+			for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += 100 * time.Millisecond {
+				o.Tick(now.Add(elapsed))
+			}
+			if diff := cmp.Diff(map[owner.Outcome]int{owner.Unanswered: 2}, countOutcomes(o)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
