Requests of one packet count as running after callers that send two short ones

Cause: a caller that sent 100 and then 300 bytes made 100 bytes the length of a full packet of its route, and requests of one longer packet counted as arriving, for 650 ms or until their answers.

Change: on the first packet of a flow, only the very length that more data followed on the route leaves a request incomplete. A longer packet was never followed by more.

Ruled out: the same rule within a flow. There a longer packet after a short one is mostly the body after the head of a request (TestWhatCountsAsArriving).

go test ./internal/coordination/owner -run TestARequestOfOnePacket: 0 running before, 1 after.

--- a/internal/coordination/owner/arrival_test.go
+++ b/internal/coordination/owner/arrival_test.go
@@ -302,3 +302,17 @@
 		})
 	}
 }
+
+func TestARequestOfOnePacketThatIsLongerThanAnyThatWasFollowedByMoreCountsAsRunning(t *testing.T) {
+	o := newServingOwner()
+	handshake(o, start, 1)
+	o.HandleBalancerPacket(start, envelope(), dataAt(1, 0, 100))
+	o.HandleBalancerPacket(start, envelope(), dataAt(1, 100, 300))
+	o.HandleUpstreamPacket(start.Add(5*time.Millisecond), responseData(1))
+
+	handshake(o, start, 2)
+	o.HandleBalancerPacket(start, envelope(), dataAt(2, 0, 300))
+	if runningCount(o) != 1 {
+		t.Errorf("%d requests run, want 1", runningCount(o))
+	}
+}
--- a/internal/coordination/owner/stream.go
+++ b/internal/coordination/owner/stream.go
@@ -114,11 +114,13 @@
 	if s.untracked {
 		return true
 	}
-	full := s.segment
-	if full == 0 {
-		full = routeSegment
+	if s.hasGap() {
+		return false
 	}
-	return !s.hasGap() && (full == 0 || s.lastLength < full)
+	if s.segment == 0 {
+		return s.lastLength != routeSegment // a longer one was never followed by more data
+	}
+	return s.lastLength < s.segment
 }
 
 // endRequest prepares for the next request of the stream.
