An upstream that becomes slow after instant answers is noticed

Cause: service times are cut off at 2.5 times their mean. With a mean of 0 every sample is cut off to 0 for ever, and from microseconds it takes more than a second to grow.

Change: nothing below 5 ms is cut off.

Ruled out: 1 ms; after a second with answers after 20 ms the mean was 13.1 ms.

go test ./internal/coordination/owner -run TestAnUpstreamThatBecomesSlow: reported 0 before, at least 15 ms after.

--- a/internal/coordination/owner/duration.go
+++ b/internal/coordination/owner/duration.go
@@ -18,6 +18,10 @@
 	// Without it, one request that takes seven times as long raises the mean by a third.
 	durationClip = 2.5
 
+	// minDurationClip is the shortest time at which service times are cut off. Otherwise
+	// the mean would stay near 0 after instant answers. Callers' objectives are far longer.
+	minDurationClip = 5 * time.Millisecond
+
 	// tailWeight is the weight of a new service time in the moving average of what is cut
 	// off. It spans several requests of a tail of a few percent.
 	tailWeight = 1.0 / 128
@@ -36,7 +40,7 @@
 func (m *durationMean) record(now time.Time, sample time.Duration) {
 	clipped := sample
 	if m.samples > 0 {
-		clipped = min(sample, time.Duration(durationClip*float64(m.mean)))
+		clipped = min(sample, max(minDurationClip, time.Duration(durationClip*float64(m.mean))))
 		m.tail += (float64(sample-clipped)/float64(max(1, m.mean)) - m.tail) * tailWeight
 	}
 	weight := min(max(float64(now.Sub(m.sampleAt))/float64(durationPeriod), minDurationWeight), maxDurationWeight)
--- a/internal/coordination/owner/duration_test.go
+++ b/internal/coordination/owner/duration_test.go
@@ -145,3 +145,19 @@
 		})
 	}
 }
+
+func TestAnUpstreamThatBecomesSlowAfterInstantAnswersIsNoticed(t *testing.T) {
+	o := newServingOwner()
+	now := start
+	for port := uint16(1); port <= 20; port++ {
+		now = upload(o, now, port, 0, 0)
+	}
+	for port := uint16(100); port < 150; port++ {
+		now = upload(o, now, port, 0, 20*time.Millisecond)
+	}
+	for _, a := range o.HandleBalancerPacket(now, envelope(), opening(1000)) {
+		if a.Kind == owner.Notify && a.Envelope.MeanDuration < 150 {
+			t.Errorf("reported %d tenths of a millisecond, want about 200", a.Envelope.MeanDuration)
+		}
+	}
+}
