A waiting flow replaces an earlier one that its upstream still knows

Cause: while a flow waited, a packet of the upstream for the same key added an entry for the caller's earlier flow.

Change: deliverOpening removes the earlier entry first.

go test ./internal/coordination/owner -run TestAWaitingFlowReplaces: 1 request left before, 0 after.

--- a/internal/coordination/owner/admission_test.go
+++ b/internal/coordination/owner/admission_test.go
@@ -310,3 +310,26 @@
 		t.Errorf("load %d, want 7: 3 requests and 4 waiting flows", load)
 	}
 }
+
+// The caller has reused its port, and the upstream still repeats packets of the earlier flow.
+func TestAWaitingFlowReplacesAnEarlierOneThatItsUpstreamStillKnows(t *testing.T) {
+	o := newServingOwner()
+	for port := uint16(1); port <= 3; port++ { // 2 slots, and one more during a handshake
+		handshake(o, start, port)
+		o.HandleBalancerPacket(start, envelope(), requestData(port))
+	}
+	if kind, reason := firstAction(o.HandleBalancerPacket(start, envelope(), opening(4))); kind != owner.Hold {
+		t.Fatalf("got %v, %v, want the flow to wait", kind, reason)
+	}
+	o.HandleUpstreamPacket(start, openingAnswer(4))
+	o.HandleBalancerPacket(start, envelope(), requestData(4)) // the earlier flow counts
+	for port := uint16(1); port <= 3; port++ {
+		o.HandleUpstreamPacket(start.Add(10*time.Millisecond), responseData(port))
+	}
+	handshake(o, start, 4)
+	o.HandleBalancerPacket(start, envelope(), requestData(4))
+	o.HandleUpstreamPacket(start.Add(20*time.Millisecond), responseData(4))
+	if o.RequestCount() != 0 {
+		t.Errorf("%d requests, want 0", o.RequestCount())
+	}
+}
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -43,6 +43,9 @@
 
 // deliverOpening adds a flow and delivers its opening packet to the upstream.
 func (o *Owner) deliverOpening(now time.Time, key flow.Key, sequence uint32, packet []byte, e *fwdmsg.Envelope) {
+	if earlier := o.flows[key]; earlier != nil {
+		o.removeFlow(key, earlier) // the upstream sent packets of it while the new flow waited
+	}
 	known := &entry{
 		openedAt: now, lastPacketAt: now, callerStart: sequence, packet: slices.Clone(packet), envelope: *e,
 		stream: stream{next: sequence + 1, end: sequence + 1, known: true},
