--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -48,7 +48,7 @@
 	}
 	known := &entry{
 		openedAt: now, lastPacketAt: now, callerStart: sequence, packet: slices.Clone(packet), envelope: *e,
-		stream: stream{next: sequence + 1, end: sequence + 1, known: true},
+		stream: stream{start: sequence + 1, next: sequence + 1, end: sequence + 1, known: true},
 	}
 	o.addFlow(key, known)
 	o.handshakes[key] = known
--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -15,12 +15,21 @@
 
 	// maxHeldPackets limits the held packets, of up to 1.3 KB each.
 	maxHeldPackets = 512
+
+	// copyDelay is the time after its arrival from which a held opening packet may have a
+	// copy at another balancer: callers repeat it 200 ms after they sent it, and it may have
+	// waited at the link for half of that.
+	copyDelay = 100 * time.Millisecond
 )
 
 // heldPacket is a packet that is kept until it can be routed. It owns its Raw bytes.
 type heldPacket struct {
 	key    flow.Key
 	packet flow.Packet
+	heldAt time.Time
+
+	// maybeCopied says that another balancer may have got a copy before the packet came here.
+	maybeCopied bool
 }
 
 // hold stores a copy of a packet that arrived just after the start, and reports
@@ -32,7 +41,7 @@
 	}
 	stored := *p
 	stored.Raw = slices.Clone(p.Raw)
-	r.heldPackets = append(r.heldPackets, heldPacket{key: key, packet: stored})
+	r.heldPackets = append(r.heldPackets, heldPacket{key: key, packet: stored, heldAt: now})
 	r.actions = append(r.actions, Action{Kind: Hold, Reason: Starting, Key: key})
 	return true
 }
@@ -54,10 +63,21 @@
 	packets := r.heldPackets
 	r.heldPackets = nil
 	for i := range packets {
+		packets[i].markCopy(now)
 		r.routeCallerPacket(now, packets[i].key, &packets[i].packet)
 	}
 }
 
+// markCopy marks an opening packet that was held for so long that it may have a copy at
+// another balancer, and returns for how long a packet was held.
+func (h *heldPacket) markCopy(now time.Time) time.Duration {
+	age := now.Sub(h.heldAt)
+	if age >= copyDelay && h.packet.IsOpening() {
+		h.packet.SinceFirstSent = max(h.packet.SinceFirstSent, age)
+	}
+	return age
+}
+
 // canPlaceFlows reports whether enough is known for placing new flows: the
 // configuration, an eligible agent and at least half of the expected members. If only
 // a few agents were known, they would get all flows. Once true, it stays true.
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -32,6 +32,7 @@
 	case fwdmsg.DelegatedReply:
 		r.handleDelegatedReply(now, e, payload)
 	}
+	r.placeWaiting(now)
 	return r.actions
 }
 
@@ -47,6 +48,9 @@
 	}
 	delete(r.pendingOpens, key)
 	delete(r.searches, key)
+	if route := r.routes[key.Service]; route != nil {
+		r.intake.Learn(now, key.Service, route, int(e.RequestSize)*fwdmsg.RequestSizeUnit)
+	}
 	if e.Refused {
 		delete(r.flows, key)
 		r.intake.Forget(key)
