--- a/internal/coordination/owner/arrival_test.go
+++ b/internal/coordination/owner/arrival_test.go
@@ -304,6 +304,20 @@
 	}
 }
 
+func TestARequestOfOnePacketThatIsLongerThanAnyThatWasFollowedByMoreCountsAsRunning(t *testing.T) {
+	o := newServingOwner()
+	handshake(o, start, 1)
+	o.HandleBalancerPacket(start, envelope(), dataAt(1, 0, 100))
+	o.HandleBalancerPacket(start, envelope(), dataAt(1, 100, 300))
+	o.HandleUpstreamPacket(start.Add(5*time.Millisecond), responseData(1))
+
+	handshake(o, start, 2)
+	o.HandleBalancerPacket(start, envelope(), dataAt(2, 0, 300))
+	if runningCount(o) != 1 {
+		t.Errorf("%d requests run, want 1", runningCount(o))
+	}
+}
+
 // The load is a balancer that has just started: what agents know of the size of requests
 // tells it which routes are heavy.
 func TestNoticesReportTheMeanSizeOfRequests(t *testing.T) {
--- a/internal/coordination/owner/stream.go
+++ b/internal/coordination/owner/stream.go
@@ -117,11 +117,13 @@
 	if s.untracked {
 		return true
 	}
-	full := s.segment
-	if full == 0 {
-		full = routeSegment
+	if s.hasGap() {
+		return false
 	}
-	return !s.hasGap() && (full == 0 || s.lastLength < full)
+	if s.segment == 0 {
+		return s.lastLength != routeSegment // a longer one was never followed by more data
+	}
+	return s.lastLength < s.segment
 }
 
 // size returns the length in bytes of the request's data up to the last that arrived.
