--- a/internal/coordination/owner/arrival.go
+++ b/internal/coordination/owner/arrival.go
@@ -13,6 +13,11 @@
 	// maxArrivingPerSlot limits the requests that arrive at a time, per slot.
 	maxArrivingPerSlot = 16
 
+	// maxAwaitingPerSlot limits the flows that count as arriving and have sent no data yet,
+	// per slot. After an outage many open at once, and their requests may all be complete
+	// a moment later, while an upstream queues only a few.
+	maxAwaitingPerSlot = 2
+
 	// runningWeight is what a request counts that arrives in no time.
 	runningWeight = 1000
 
@@ -105,9 +110,23 @@
 		o.arriving[key] = e
 	}
 	e.counts = state
+	o.setAwaitsData(e, state == arriving && !e.requestPending)
 	o.setWeight(key, e)
 }
 
+// setAwaitsData records whether a flow counts as arriving and has sent no data yet.
+func (o *Owner) setAwaitsData(e *entry, awaits bool) {
+	if e.awaitsData == awaits {
+		return
+	}
+	e.awaitsData = awaits
+	if awaits {
+		o.awaitingData++
+	} else {
+		o.awaitingData--
+	}
+}
+
 // setWeight sets what a flow counts over the whole time of its request: by Little's law,
 // the part of that time for which the request runs. It is known from the moment at which
 // the request begins to arrive.
@@ -138,7 +157,7 @@
 }
 
 func (o *Owner) arrivingLimited() bool {
-	return len(o.arriving) >= maxArrivingPerSlot*o.slots()
+	return len(o.arriving) >= maxArrivingPerSlot*o.slots() || o.awaitingData >= maxAwaitingPerSlot*o.slots()
 }
 
 // countOpening counts a new flow. Where requests take longer to arrive than to run, it
@@ -174,6 +193,7 @@
 	}
 	if !e.requestPending {
 		e.requestPending = true
+		o.setAwaitsData(e, false)
 		e.requestSentAt, e.lastDataAt = now, now
 	}
 	if complete {
--- a/internal/coordination/owner/arrival_test.go
+++ b/internal/coordination/owner/arrival_test.go
@@ -343,3 +343,37 @@
 		t.Errorf("got %d bytes, want %d rounded up", got, size)
 	}
 }
+
+// The load is a surge after an outage on a route whose uploads took a second to arrive
+// before: all open at once, and all of their data comes a round trip later. The upstream
+// runs 4 requests and queues 16.
+func TestASurgeOfUploadsFitsTheUpstream(t *testing.T) {
+	const slots, queued = 4, 16
+	o := newServingOwner()
+	o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.Slots, a.Sequence = slots, 2 }))
+	now := start
+	for port := uint16(1); port <= 50; port++ {
+		now = upload(o, now, port, time.Second, 5*time.Millisecond)
+	}
+	var opened []uint16
+	for port := uint16(1000); port < 1300; port++ {
+		for _, a := range o.HandleBalancerPacket(now, envelope(), opening(port)) {
+			if a.Reason == owner.Opened {
+				opened = append(opened, port)
+			}
+		}
+	}
+	for _, port := range opened {
+		o.HandleUpstreamPacket(now, openingAnswer(port))
+		for i := range 10 {
+			length := fullLength
+			if i == 9 {
+				length = 100
+			}
+			o.HandleBalancerPacket(now.Add(20*time.Millisecond), envelope(), dataAt(port, i*fullLength, length))
+		}
+	}
+	if got := runningCount(o); got > slots+queued || got < slots {
+		t.Errorf("%d requests are at the upstream, want %d to %d", got, slots, slots+queued)
+	}
+}
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -44,6 +44,9 @@
 	lastDataAt     time.Time
 	requestPending bool
 
+	// awaitsData says that the flow counts as arriving and has sent no data yet.
+	awaitsData bool
+
 	callerFin   bool
 	upstreamFin bool
 	wasReset    bool
