--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -82,10 +82,10 @@
 	handshakes map[flow.Key]*entry // the flows whose handshake is not complete
 	requests   int                 // flows whose request the upstream runs, or is about to get
 
-	arriving    map[flow.Key]*entry // flows whose request still arrives
+	arriving     map[flow.Key]*entry // flows whose request still arrives
 	awaitingData int                 // flows of arriving that have sent no data yet
-	weight      int                 // the sum of the weights of running and arriving flows
-	arrivals    map[flow.Endpoint]*routeArrivals
+	weight       int                 // the sum of the weights of running and arriving flows
+	arrivals     map[flow.Endpoint]*routeArrivals
 
 	connections int // flows at the upstream that are not closed
 
