--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -65,42 +65,54 @@
 	return uint16(min(100*(o.load()+o.backlog.Len())/o.slots(), 1<<16-1))
 }
 
-// enqueue adds a flow to the backlog. If the flow would wait too long, it replaces a
-// waiting flow that can no longer be answered in time, or one of a caller that has more
-// waiting flows; if there is none, it is refused.
+// enqueue adds a flow to the backlog, or refuses it if it would wait too long and no
+// waiting flow makes room for it. A caller that dominates is refused beyond its share
+// while others wait.
 func (o *Owner) enqueue(now time.Time, key flow.Key, e *fwdmsg.Envelope, p *flow.Packet) {
-	dominant, dominates := o.backlog.Dominant(now)
+	dominant, found := o.backlog.Dominant(now)
+	isDominant := found && key.Caller.IP == dominant
 	othersWait := o.backlog.Len() > 0
-	if dominates {
+	if found {
 		othersWait = o.backlog.LenWithout(dominant) > 0
 	}
 	if !othersWait {
 		o.backlogEmptyAt = now
 	}
-	dominates = dominates && key.Caller.IP == dominant
-	if dominates && (othersWait || o.contended(now)) && o.backlog.HadShare(now, key.Caller.IP) {
+
+	beyondShare := isDominant && (othersWait || o.contended(now)) && o.backlog.HadShare(now, key.Caller.IP)
+	if beyondShare || !o.makeRoom(now, key, isDominant) {
 		o.forwardOrRefuse(now, key, e, p.Raw, Overloaded)
 		return
 	}
+	o.addToBacklog(now, key, e, p)
+}
 
+// makeRoom reports whether a new flow may wait. If it would wait too long, it replaces a
+// waiting flow that can no longer be answered in time, or one of a caller that has more
+// waiting flows.
+func (o *Owner) makeRoom(now time.Time, key flow.Key, isDominant bool) bool {
 	priority, objective := o.priorityAndObjective(key)
-	if o.expectedWait(key, priority) > o.maxExpectedWait(now, objective, dominates) {
-		if !dominates {
-			o.contendedAt = now
-		}
-		evicted, ok := o.backlog.Evict(now, priority, key.Caller.IP)
-		if !ok {
-			o.forwardOrRefuse(now, key, e, p.Raw, Overloaded)
-			return
-		}
-		reason := EvictedForYounger
-		if !now.After(evicted.OpenDeadline) {
-			reason = EvictedForOthers
-		}
-		o.resetCaller(evicted.Key, 0, reason)
-		o.notifyBalancer(now, evicted.Key, &evicted.Envelope, true)
+	if o.expectedWait(key, priority) <= o.maxExpectedWait(now, objective, isDominant) {
+		return true
+	}
+	if !isDominant {
+		o.contendedAt = now
+	}
+	evicted, ok := o.backlog.Evict(now, priority, key.Caller.IP)
+	if !ok {
+		return false
 	}
+	reason := EvictedForYounger
+	if !now.After(evicted.OpenDeadline) {
+		reason = EvictedForOthers
+	}
+	o.resetCaller(evicted.Key, 0, reason)
+	o.notifyBalancer(now, evicted.Key, &evicted.Envelope, true)
+	return true
+}
 
+func (o *Owner) addToBacklog(now time.Time, key flow.Key, e *fwdmsg.Envelope, p *flow.Packet) {
+	priority, objective := o.priorityAndObjective(key)
 	firstSent := now.Add(-p.SinceFirstSent)
 	o.backlog.Add(queue.WaitingFlow{
 		Key: key, Priority: priority, FirstSent: firstSent, OpenDeadline: firstSent.Add(o.openWithin(objective)), GiveUpAt: firstSent.Add(o.openTimeout(key)),
