--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -40,7 +40,7 @@
 	// sweepInterval is the time between two passes that remove old flows and offers.
 	sweepInterval = time.Second
 
-	// maxFlows is the largest number of flows in the table. Each takes about 430 bytes.
+	// maxFlows is the largest number of flows in the table. Each takes about 500 bytes.
 	maxFlows = 16384
 
 	// silentThreshold is the number of consecutive opening packets, each unanswered
