Let the budget of the slowest link cover a datagram

With less than ten bytes a second the bucket held no byte: no flow was ever asked about, and a repeat in debt would not have returned. TestTheSlowestLinkHasABudget failed.

--- a/internal/coordination/steer/budget.go
+++ b/internal/coordination/steer/budget.go
@@ -17,6 +17,9 @@
 	// budgetBurst is the time whose share may be used at once after a calm period.
 	budgetBurst = time.Second
 
+	// minBurst is the least number of bytes that may be used at once: a datagram.
+	minBurst = 1500
+
 	// datagramHeaders is the length of the headers of IP and UDP in bytes.
 	datagramHeaders = 28
 
@@ -38,7 +41,7 @@
 		return budget{}
 	}
 	perSecond := ownShare * float64(linkRate)
-	return budget{limiter: rate.NewLimiter(rate.Limit(perSecond), int(perSecond*budgetBurst.Seconds()))}
+	return budget{limiter: rate.NewLimiter(rate.Limit(perSecond), max(minBurst, int(perSecond*budgetBurst.Seconds())))}
 }
 
 // take reports whether messages may be sent now, and deducts their bytes if so. The
--- a/internal/coordination/steer/budget_test.go
+++ b/internal/coordination/steer/budget_test.go
@@ -172,3 +172,16 @@
 		t.Error("no flow was asked about")
 	}
 }
+
+// A rate that leaves less than a byte a second for queries must not stop the balancer.
+func TestTheSlowestLinkHasABudget(t *testing.T) {
+	r := narrowRouter(steer.WithLinkRate(1))
+	r.HandleCallerPacket(start, data(1))
+	asked := false
+	for at := 100 * time.Millisecond; at < time.Second; at += 50 * time.Millisecond {
+		asked = asked || ownBytes(r.Tick(start.Add(at))) > 0
+	}
+	if !asked {
+		t.Error("the flow was not asked about")
+	}
+}
--- a/internal/coordination/steer/lateness.go
+++ b/internal/coordination/steer/lateness.go
@@ -6,8 +6,8 @@
 	// usageWindow is the period over which the use of the link is measured.
 	usageWindow = 250 * time.Millisecond
 
-	// busyShare is the share of the link's rate from which late notices may be due to
-	// the link. The packets of all flows together with the membership's fill it.
+	// busyShare is the share of the link's rate from which late notices may be due to the
+	// link. Membership and other traffic of the VM, which are not measured, may take the rest.
 	busyShare = 0.5
 
 	// latenessWindow is the time for which a missed or received notice counts.
@@ -34,6 +34,7 @@
 	u.in += bytes
 }
 
+// advance begins a new window once usageWindow has passed.
 func (u *linkUse) advance(now time.Time) {
 	elapsed := now.Sub(u.windowStart)
 	if elapsed < usageWindow {
