Keep a route heavy while callers give up its uploads

Cause: a balancer that started on a full link saw first the transfers that callers gave up after a packet or two. Their mean made uploads a light route, and the mean that agents report did not count any more. It took all uploads, and its link stayed full for 4.5 s after the others' were free.

Change: the larger of the own and the reported mean counts.

Ruled out: late copies that are always placed.

--- a/internal/coordination/intake/control_test.go
+++ b/internal/coordination/intake/control_test.go
@@ -203,3 +203,29 @@
 		})
 	}
 }
+
+// The load is uploads through a balancer that started on a full link: the first transfers
+// that end there are those that callers give up after a packet or two.
+func TestUploadsThatWereGivenUpDoNotMakeAHeavyRouteLight(t *testing.T) {
+	report := func(c *intake.Control) { c.Learn(start, flow.EndpointOf(uploads.Address), uploads, 40_000) }
+	giveUp := func(c *intake.Control) {
+		for caller := range byte(10) {
+			send(c, start, uploads, 200+caller, 1, 1)
+		}
+	}
+	tests := map[string][]func(*intake.Control){
+		"before the first report": {giveUp, report},
+		"after it":                {report, giveUp},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := intake.New(linkRate)
+			for _, step := range steps {
+				step(c)
+			}
+			if got := fill(c, start.Add(time.Minute), uploads); got == 100 {
+				t.Error("100 uploads at once are taken")
+			}
+		})
+	}
+}
--- a/internal/coordination/intake/route.go
+++ b/internal/coordination/intake/route.go
@@ -71,12 +71,15 @@
 	}
 }
 
-// expected returns the expected size of a transfer in bytes on the link.
+// expected returns the expected size of a transfer in bytes on the link. The own mean may
+// be too small, because it counts transfers that callers gave up; the reported one is of
+// whole requests.
 func (s *routeState) expected() float64 {
-	if s.meanSize > 0 {
-		return s.meanSize
+	own := s.meanSize
+	if own == 0 {
+		own = s.largest
 	}
-	return max(s.reportedSize, s.largest)
+	return max(own, s.reportedSize)
 }
 
 func (s *routeState) objectiveOrDefault() time.Duration {
@@ -106,8 +109,8 @@
 }
 
 // Learn takes the mean size of a route's requests in bytes, as an agent reports it; 0 is
-// not known. It counts until a transfer of the route has ended here, so that a balancer
-// that has just started knows heavy routes from their first flow on.
+// not known. A balancer that has just started knows heavy routes from their first flow on
+// by it.
 func (c *Control) Learn(now time.Time, address flow.Endpoint, route *config.Route, size int) {
 	if c == nil || size == 0 {
 		return
