Forget sooner that an upstream was slow

Cause: an upstream that became fast again has its share late, because a balancer hears of it by its own flows only, places hardly any there, and believed its last report for a second.

Change: a report makes an upstream slow for 0.4 s.

--- a/internal/coordination/pick/pick.go
+++ b/internal/coordination/pick/pick.go
@@ -24,6 +24,11 @@
 	// a few long requests.
 	slowFactor = 1.5
 
+	// slowTTL is how long a report makes an upstream count as slow. A slow upstream gets few
+	// flows, and each balancer hears only of its own, so that older reports would hide for
+	// long that it is fast again.
+	slowTTL = 400 * time.Millisecond
+
 	// remoteCost, in requests per slot, is added for an agent in another failure
 	// domain. It breaks ties in favour of the balancer's own domain, within which
 	// traffic is free.
@@ -183,7 +188,7 @@
 
 func (c *Candidate) cost(now time.Time, typical time.Duration) float64 {
 	cost := c.RequestsPerSlot(now)
-	if slowness := float64(c.meanDuration) / float64(max(1, typical)); typical > 0 && slowness > slowFactor && c.ReportAge(now) <= reportTTL {
+	if slowness := float64(c.meanDuration) / float64(max(1, typical)); typical > 0 && slowness > slowFactor && c.ReportAge(now) <= slowTTL {
 		cost = (cost + 1/c.slots) * slowness // counts the new flow too, so that an idle slow upstream has a cost
 	}
 	if c.OtherDomain {
