Tell callers of lost flows after round trips instead of ticks

Searches advanced every 50 ms, and each query waited for 150 ms for VMs that hold no flows and were removed just before.

Change: a query goes out 5 ms after its first flow came back from the chain, and ends with the last reply that counts. An agent without flows is waited for until it has been silent for 150 ms, no matter to which query. Chains leave out agents without flows and those that do not answer; they broke there and took 100 ms. A histogram of search times, by outcome and domain.

TestAFlowAtASlowOrPausedAgentIsNotDeclaredGone and the two tests of empty agents check that the promise is as strict as before.

--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -37,6 +37,10 @@
 	// Sequence is the sequence number of the reset packet to send.
 	Sequence uint32
 
+	// SearchTime is the time since the search for an unknown flow began, set when it ends
+	// with Found, FlowGone or one of the reasons that begin with NotFound.
+	SearchTime time.Duration
+
 	// Load is the expected number of requests per slot at the agent chosen for a new
 	// flow. LoadAge is the age of the report behind it, 0 if there was none.
 	Load    float64
--- a/internal/coordination/steer/ask.go
+++ b/internal/coordination/steer/ask.go
@@ -12,12 +12,13 @@
 
 // query is a batch of questions about flows for all agents that may have them.
 type query struct {
-	askedAt time.Time // when the latest agents were asked
-	resent  bool      // since askedAt
-	keys    []flow.Key
-	payload []byte
-	asked   map[flow.Endpoint]question
-	pending int // agents that have not replied
+	askedAt   time.Time // when the latest agents were asked
+	repliedAt time.Time // when the latest reply came
+	resent    bool      // since askedAt
+	keys      []flow.Key
+	payload   []byte
+	asked     map[flow.Endpoint]question
+	pending   int // agents that have not replied
 
 	// waiting are the agents that are to be asked directly in the next runs.
 	waiting []flow.Endpoint
--- a/internal/coordination/steer/conclude.go
+++ b/internal/coordination/steer/conclude.go
@@ -26,7 +26,7 @@
 		r.endInconclusive(now, key, s, NotFoundAgentsUnknown)
 	default:
 		delete(r.searches, key)
-		r.actions = append(r.actions, Action{Kind: Reset, Reason: FlowGone, Key: key, Sequence: s.acknowledged})
+		r.actions = append(r.actions, Action{Kind: Reset, Reason: FlowGone, Key: key, Sequence: s.acknowledged, SearchTime: now.Sub(s.startedAt)})
 	}
 }
 
@@ -43,5 +43,5 @@
 func (r *Router) endInconclusive(now time.Time, key flow.Key, s *search, reason Reason) {
 	s.enter(stateEnded, now)
 	s.retry = reason == NotFoundAgentUncertain || reason == NotFoundAgentSilent
-	r.actions = append(r.actions, Action{Kind: Drop, Reason: reason, Key: key})
+	r.actions = append(r.actions, Action{Kind: Drop, Reason: reason, Key: key, SearchTime: now.Sub(s.startedAt)})
 }
--- a/internal/coordination/steer/converge.go
+++ b/internal/coordination/steer/converge.go
@@ -121,23 +121,24 @@
 	return live, dead
 }
 
-// likelyHolders returns up to maxChainLength live agents that may have a flow, in
-// the order of likelihood.
+// likelyHolders returns up to maxChainLength agents that may have a flow and answer, in
+// the order of likelihood. An agent that does not answer would end the chain.
 func (r *Router) likelyHolders(now time.Time, route *config.Route, hash uint64) []*agent {
-	var order [maxChainLength]int
-	var scores [maxChainLength]uint64
+	var order, scores = [2 * maxChainLength]int{}, [2 * maxChainLength]uint64{}
 	agents := make([]*agent, 0, maxChainLength)
 	for _, name := range r.candidateServices(now, route, hash) {
 		svc := r.services[name]
 		if svc == nil {
 			continue
 		}
-		count := rank.Top(hash, svc.live, order[:maxChainLength-len(agents)], scores[:])
+		count := rank.Top(hash, svc.holders, order[:], scores[:])
 		for _, i := range order[:count] {
-			agents = append(agents, svc.agents[i])
-		}
-		if len(agents) == maxChainLength {
-			break
+			if a := svc.agents[i]; !a.seemsSilent(now) {
+				agents = append(agents, a)
+			}
+			if len(agents) == maxChainLength {
+				return agents
+			}
 		}
 	}
 	return agents
--- a/internal/coordination/steer/delegation.go
+++ b/internal/coordination/steer/delegation.go
@@ -80,6 +80,7 @@
 		return
 	}
 	d.answered = true
+	q.repliedAt = now
 	if a := r.agents[e.Agent]; a != nil {
 		a.recordDelegateReply()
 	}
@@ -88,12 +89,14 @@
 		if replies.Answered[i] && asked.pending && asked.incarnation == d.incarnations[i] {
 			q.asked[agent] = question{incarnation: asked.incarnation}
 			q.pending--
+			if a := r.agents[agent]; a != nil {
+				a.unansweredSince = time.Time{}
+			}
 			r.recordDelegated(now, q, i, agent, &replies)
 		}
 	}
 
-	if q.pending == 0 {
-		r.finishQuery(now, d.queryID, q)
+	if r.finishIfDecided(now, d.queryID, q) {
 		return
 	}
 	r.replaceIfIncomplete(now, d)
--- a/internal/coordination/steer/findsim_test.go
+++ b/internal/coordination/steer/findsim_test.go
@@ -35,6 +35,11 @@
 	// longest additional delay of a message.
 	lose      func(from, to flow.Endpoint, kind fwdmsg.Kind) bool
 	maxJitter time.Duration
+
+	// chainDelay is the time after which the chain returns a packet, 0 if it does not. With
+	// onTime, balancers tick when they ask for it instead of every simTickStep.
+	chainDelay time.Duration
+	onTime     bool
 }
 
 type simEvent struct {
@@ -115,11 +120,15 @@
 			fs.queue = fs.queue[1:]
 			e.run()
 		}
-		if fs.now.Sub(start)%simTickStep != 0 {
-			continue
-		}
+		isStep := fs.now.Sub(start)%simTickStep == 0
 		for _, b := range fs.balancers {
-			fs.perform(b, b.router.Tick(fs.now))
+			due, pending := b.router.NextTick()
+			if (fs.onTime && pending && !fs.now.Before(due)) || (!fs.onTime && isStep) {
+				fs.perform(b, b.router.Tick(fs.now))
+			}
+		}
+		if !isStep {
+			continue
 		}
 		for _, a := range fs.agents {
 			if !a.down && !fs.now.Before(a.frozen) {
@@ -142,6 +151,11 @@
 			b.gone[a.Key] = fs.now
 		case a.Reason == steer.Found:
 			b.found[a.Key] = fs.now
+		case a.Reason == steer.Lookup && fs.chainDelay > 0:
+			returned, packet := returnedFrom(a.Envelope, a.To), bytes.Clone(a.Packet)
+			if !fs.isBroken(&a) {
+				fs.schedule(fs.now.Add(fs.chainDelay), func() { fs.deliverToBalancer(b, returned, packet) })
+			}
 		case a.Reason == steer.Offered:
 			fs.send(b.self, a.To, &a.Envelope, bytes.Clone(a.Packet))
 		case a.Kind == steer.Send && a.Envelope.Kind != fwdmsg.CallerPacket:
@@ -153,6 +167,16 @@
 	}
 }
 
+// isBroken reports whether an agent of a packet's chain does not pass it on.
+func (fs *findSim) isBroken(a *steer.Action) bool {
+	for _, endpoint := range append([]flow.Endpoint{a.To}, a.Envelope.Ranks[:a.Envelope.RankCount]...) {
+		if agent := fs.agents[endpoint]; agent.down || fs.now.Before(agent.frozen) {
+			return true
+		}
+	}
+	return false
+}
+
 func (fs *findSim) performAgent(a *simAgent, messages []fanout.Message) {
 	for i := range messages {
 		fs.send(a.self, messages[i].To, &messages[i].Envelope, messages[i].Payload)
--- a/internal/coordination/steer/member.go
+++ b/internal/coordination/steer/member.go
@@ -30,6 +30,7 @@
 	noticeInTimeAt time.Time // when a notice last came within the timeout
 
 	heardAt           time.Time // when it last sent this balancer a message
+	unansweredSince   time.Time // when the earliest question since then was sent; zero if none
 	silentDelegations int       // consecutive delegated queries that it did not answer
 	noDelegateUntil   time.Time // it is not chosen as a delegate until then
 }
@@ -38,9 +39,9 @@
 type service struct {
 	agents []*agent
 
-	// all has a candidate for each agent, live for those that are not dead, eligible
+	// holders has a candidate for each agent that is not dead and may hold flows, eligible
 	// for those that take new flows. Candidate.Index is an index into agents.
-	all, live, eligible []rank.Candidate
+	holders, eligible []rank.Candidate
 }
 
 // UpdateMembers applies new or changed member records.
@@ -123,12 +124,11 @@
 
 // updateCandidates rebuilds the candidate lists from agents and cfg.
 func (svc *service) updateCandidates(cfg *config.Config) {
-	svc.all, svc.live, svc.eligible = svc.all[:0], svc.live[:0], svc.eligible[:0]
+	svc.holders, svc.eligible = svc.holders[:0], svc.eligible[:0]
 	for i, a := range svc.agents {
 		c := rank.Candidate{Seed: a.seed, Index: i}
-		svc.all = append(svc.all, c)
-		if a.member.State != roster.Dead {
-			svc.live = append(svc.live, c)
+		if a.mayReply() {
+			svc.holders = append(svc.holders, c)
 		}
 		if a.member.State == roster.Alive && a.member.Weight > 0 && !cfg.IsDomainOut(a.member.Domain) {
 			svc.eligible = append(svc.eligible, c)
@@ -138,6 +138,9 @@
 
 // setMember replaces the agent's record and tracks since when it is dead.
 func (a *agent) setMember(now time.Time, m *roster.Member) {
+	if m.State == roster.Alive && m.Sequence != a.member.Sequence {
+		a.unansweredSince = time.Time{} // it has reported to another VM
+	}
 	a.member = *m
 	switch {
 	case m.State != roster.Dead:
@@ -146,3 +149,21 @@
 		a.deadSince = now
 	}
 }
+
+// recordHeard records that the agent sent this balancer a message.
+func (a *agent) recordHeard(now time.Time) {
+	a.heardAt = now
+	a.unansweredSince = time.Time{}
+}
+
+// recordAsked records that the agent was asked a question, to which it has not replied.
+func (a *agent) recordAsked(at time.Time) {
+	if a.unansweredSince.IsZero() {
+		a.unansweredSince = at
+	}
+}
+
+// seemsSilent reports whether the agent lately left questions or opening packets unanswered.
+func (a *agent) seemsSilent(now time.Time) bool {
+	return now.Before(a.suspectUntil) || (!a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) >= emptyAgentTimeout)
+}
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -15,7 +15,7 @@
 	r.actions = r.actions[:0]
 	r.use.countIn(now, messageLength+len(payload))
 	if a := r.agents[e.Agent]; a != nil {
-		a.heardAt = now
+		a.recordHeard(now)
 	}
 	switch e.Kind {
 	case fwdmsg.Notice:
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -43,8 +43,7 @@
 			continue
 		}
 		switch age := now.Sub(q.askedAt); {
-		case age >= r.replyTimeout(emptyAgentTimeout) && r.onlyEmptyAgentsPending(q):
-			r.finishQuery(now, id, q)
+		case r.finishIfDecided(now, id, q):
 		case age >= r.replyTimeout(queryTimeout):
 			r.endQuery(id, q)
 			r.expireQuery(now, q)
@@ -113,6 +112,7 @@
 	}
 	q.asked[e.Agent] = question{incarnation: asked.incarnation}
 	q.pending--
+	q.repliedAt = now
 	for i, key := range q.keys {
 		s := r.searches[key]
 		if s == nil || !s.awaits(q) {
@@ -125,9 +125,7 @@
 			s.uncertain = append(s.uncertain, e.Agent)
 		}
 	}
-	if q.pending == 0 {
-		r.finishQuery(now, e.QueryID, q)
-	}
+	r.finishIfDecided(now, e.QueryID, q)
 }
 
 // finishQuery ends a query if all agents that may have its flows were asked, and
@@ -145,14 +143,64 @@
 	}
 }
 
-// onlyEmptyAgentsPending reports whether all agents that have not replied hold no flows.
-func (r *Router) onlyEmptyAgentsPending(q *query) bool {
+// finishIfDecided finishes a query once no agent is to be waited for, and reports whether
+// it did.
+func (r *Router) finishIfDecided(now time.Time, id uint16, q *query) bool {
+	due, decided := r.decidedAt(q)
+	if !decided {
+		return false
+	}
+	if now.Before(due) {
+		r.advanceAt(due)
+		return false
+	}
+	r.recordSilence(q)
+	r.finishQuery(now, id, q)
+	return true
+}
+
+// decidedAt returns when a query ends without the agents that have not replied, and false
+// if one of them may hold flows.
+func (r *Router) decidedAt(q *query) (time.Time, bool) {
+	var due time.Time
 	for endpoint, asked := range q.asked {
-		if a := r.agents[endpoint]; asked.pending && (a == nil || !a.member.NoFlows) {
-			return false
+		if !asked.pending {
+			continue
+		}
+		a := r.agents[endpoint]
+		if a == nil || !a.member.NoFlows {
+			return time.Time{}, false
+		}
+		if at := r.waitForEmpty(q, a); at.After(due) {
+			due = at
+		}
+	}
+	return due, true
+}
+
+// waitForEmpty returns until when a query waits for an agent that holds no flows: until it
+// has been silent for emptyAgentTimeout, and has had the time to answer this query.
+func (r *Router) waitForEmpty(q *query, a *agent) time.Time {
+	timeout := r.replyTimeout(emptyAgentTimeout)
+	silentSince := a.unansweredSince
+	if silentSince.IsZero() {
+		silentSince = q.askedAt
+	}
+	silent := silentSince.Add(timeout)
+	answered := q.askedAt.Add(min(max(minReplyDelay, 2*q.repliedAt.Sub(q.askedAt)), timeout))
+	if silent.After(answered) {
+		return silent
+	}
+	return answered
+}
+
+// recordSilence records the agents that did not reply to a query, also to a delegate.
+func (r *Router) recordSilence(q *query) {
+	for endpoint, asked := range q.asked {
+		if a := r.agents[endpoint]; asked.pending && a != nil {
+			a.recordAsked(q.askedAt)
 		}
 	}
-	return true
 }
 
 // awaited reports whether any search waits for the replies to q.
--- a/internal/coordination/steer/run.go
+++ b/internal/coordination/steer/run.go
@@ -83,6 +83,9 @@
 			asked.sentAt = now
 			q.asked[agent] = asked
 			q.askedAt, q.resent = now, false
+			if a := r.agents[agent]; a != nil {
+				a.recordAsked(now)
+			}
 			r.sendQuestions(id, q, agent)
 		}
 	}
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -19,17 +19,25 @@
 	chainTimeout = 100 * time.Millisecond
 
 	// queryInterval is the time between two ticks while flows are searched for or packets
-	// are held. Flows that are lost together are asked about in the same query.
+	// are held, unless something is due before.
 	queryInterval = 50 * time.Millisecond
 
+	// batchDelay is the time for which a flow waits for others that are asked about in the
+	// same query. Flows that are lost together come back from their agents together.
+	batchDelay = 5 * time.Millisecond
+
 	// queryTimeout is the time that agents have to answer a query or an offered packet.
 	queryTimeout = 400 * time.Millisecond
 
-	// emptyAgentTimeout is the time after which a query stops waiting for agents that
-	// hold no flows: they answer at once if they are alive, and if they are not, no
-	// flow is missed.
+	// emptyAgentTimeout is the silence after which queries stop waiting for an agent that
+	// holds no flows: it answers at once if it is alive, and if it is not, no flow is
+	// missed. The silence may have begun with an earlier query.
 	emptyAgentTimeout = 150 * time.Millisecond
 
+	// minReplyDelay is the least time that such an agent has to answer a query even so, in
+	// case that it has come back. It has twice as long as the others took, if that is more.
+	minReplyDelay = 5 * time.Millisecond
+
 	// resendDelay is the time after which a query is repeated to the agents that have
 	// not replied. A reply takes a few milliseconds.
 	resendDelay = 100 * time.Millisecond
@@ -71,8 +79,8 @@
 type search struct {
 	state searchState
 
-	// enteredAt is when state was entered.
-	enteredAt time.Time
+	// startedAt is when the search began, and enteredAt when state was entered.
+	startedAt, enteredAt time.Time
 
 	// packet is a copy of the caller's latest packet, acknowledged its
 	// acknowledgement number and packetAt the time of its arrival.
@@ -108,7 +116,7 @@
 
 	isNew := s == nil
 	if isNew {
-		s = &search{state: stateChain, enteredAt: now}
+		s = &search{state: stateChain, startedAt: now, enteredAt: now}
 		r.searches[key] = s
 	}
 	s.packet = append(s.packet[:0], p.Raw...)
@@ -119,7 +127,20 @@
 	case stateChain:
 		r.sendAlongChain(now, key, p.Raw, route, isNew)
 	case stateEnded:
-		s.enter(stateQueued, now)
+		r.queueForQuery(now, s)
+	}
+}
+
+// queueForQuery has the next query ask about a search's flow.
+func (r *Router) queueForQuery(now time.Time, s *search) {
+	s.enter(stateQueued, now)
+	r.advanceAt(now.Add(batchDelay))
+}
+
+// advanceAt has the searches advance at a time, if that is before the next regular tick.
+func (r *Router) advanceAt(due time.Time) {
+	if r.searchDue.IsZero() || due.Before(r.searchDue) {
+		r.searchDue = due
 	}
 }
 
@@ -143,7 +164,12 @@
 func (r *Router) sendAlongChain(now time.Time, key flow.Key, packet []byte, route *config.Route, wantNotice bool) {
 	agents := r.likelyHolders(now, route, key.Hash())
 	if len(agents) == 0 {
-		_, agents = r.possibleHolders(now, route, key.Hash()) // dead agents that may come back
+		live, dead := r.possibleHolders(now, route, key.Hash())
+		if len(live) > 0 {
+			r.queueForQuery(now, r.searches[key])
+			return
+		}
+		agents = dead // they may come back
 	}
 	if len(agents) == 0 {
 		r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
@@ -168,7 +194,7 @@
 	}
 	switch s.state {
 	case stateChain:
-		s.enter(stateQueued, now)
+		r.queueForQuery(now, s)
 	case stateOffered:
 		s.uncertain = slices.DeleteFunc(s.uncertain, func(a flow.Endpoint) bool { return a == e.Agent && !e.Uncertain })
 		if len(s.uncertain) == 0 {
@@ -184,7 +210,7 @@
 		r.flows[key] = &flowEntry{agent: agent, lastActive: now}
 	}
 	if route := r.routes[key.Service]; route != nil {
-		r.send(Action{Reason: Found, Key: key, To: agent, Envelope: r.envelope(route, key, false), Packet: s.packet})
+		r.send(Action{Reason: Found, Key: key, To: agent, Envelope: r.envelope(route, key, false), Packet: s.packet, SearchTime: now.Sub(s.startedAt)})
 	}
 }
 
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -135,11 +135,16 @@
 	// searches are the searches for flows that were not found yet. searchesActive says
 	// that some of them may need ticks.
 	searchesActive bool
-	searches       map[flow.Key]*search
-	queries        map[uint16]*query
-	delegations    map[uint16]*delegation // by the QueryID of the DelegatedQuery
-	lastQueryID    uint16                 // starts elsewhere in each process, so that late replies to an earlier one do not fit
-	random         *rand.Rand
+
+	// searchDue is when the searches are to advance before the next regular tick, zero if
+	// nothing is due.
+	searchDue time.Time
+
+	searches    map[flow.Key]*search
+	queries     map[uint16]*query
+	delegations map[uint16]*delegation // by the QueryID of the DelegatedQuery
+	lastQueryID uint16                 // starts elsewhere in each process, so that late replies to an earlier one do not fit
+	random      *rand.Rand
 
 	// expected are the members that were known before the start; valid if expectedSet.
 	// unansweredProbes counts, for each of them that this balancer had not heard of when it
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -14,6 +14,9 @@
 	if r.searchesActive || len(r.heldPackets) > 0 {
 		due = r.lastTick.Add(queryInterval)
 	}
+	if !r.searchDue.IsZero() && (due.IsZero() || r.searchDue.Before(due)) {
+		due = r.searchDue
+	}
 	if at, pending := r.nextOpenDue(); pending && (due.IsZero() || at.Before(due)) {
 		due = at
 	}
@@ -54,6 +57,7 @@
 	r.checkConverged(now)
 	r.routeHeld(now)
 	r.placeWaiting(now)
+	r.searchDue = time.Time{}
 	r.advanceSearches(now)
 	r.retryOpens(now, delay)
 	r.sweep(now)
--- a/internal/transport/fwbal/act.go
+++ b/internal/transport/fwbal/act.go
@@ -64,6 +64,9 @@
 		return
 	}
 	b.metrics.Datagrams.WithLabelValues(string(a.Reason)).Inc()
+	if a.SearchTime > 0 {
+		b.metrics.SearchTime.WithLabelValues(string(a.Reason), b.control.Self().Domain).Observe(a.SearchTime.Seconds())
+	}
 	if a.Kind == steer.Send {
 		b.log.Info("flow routed", "flow", a.Key, "reason", string(a.Reason), "agent", a.To,
 			"load", a.Load, "loadAge", a.LoadAge.Round(time.Millisecond), "revision", b.revision)
@@ -79,6 +82,9 @@
 	}
 	fields := []any{"flow", a.Key, "reason", string(a.Reason), "reset", a.Kind == steer.Reset,
 		"revision", b.revision, "agents", b.router.EligibleAgentCount()}
+	if a.SearchTime > 0 {
+		fields = append(fields, "searched", a.SearchTime.Round(time.Millisecond))
+	}
 	if !a.To.IsZero() {
 		fields = append(fields, "silent", a.To)
 	}
--- a/internal/transport/metric/metric.go
+++ b/internal/transport/metric/metric.go
@@ -39,6 +39,10 @@
 	// Datagrams counts datagrams from and to callers by verdict.
 	Datagrams *prometheus.CounterVec
 
+	// SearchTime is the time in seconds until the search for an unknown flow ended, by
+	// outcome and the failure domain of the balancer.
+	SearchTime *prometheus.HistogramVec
+
 	// DroppedDatagrams counts dropped datagrams by reason.
 	DroppedDatagrams *prometheus.CounterVec
 
@@ -95,6 +99,8 @@
 	s.PassedRequests = s.counter("passed_requests_total", "Requests that a peer agent ran.", "tenant", "class")
 	s.BrokenFlows = s.counter("broken_flows_total", "Flows that ended before their answer.", "cause")
 	s.Datagrams = s.counter("datagrams_total", "Callers' datagrams by verdict.", "verdict")
+	s.SearchTime = s.histogram("search_seconds", "Time until the search for an unknown flow ended.",
+		prometheus.ExponentialBuckets(0.002, 2, 12), "outcome", "domain")
 	s.DroppedDatagrams = s.counter("dropped_datagrams_total", "Datagrams thrown away.", "reason")
 	s.ControlBytes = s.counter("control_bytes_total", "Control traffic between the system's processes.", "direction")
 	s.StoreCalls = s.counter("store_calls_total", "Calls to the platform's store.", "call", "result")
