Let the waits of a search follow measured times

The time for a chain, the time until a question is repeated, and the silence from which an agent without flows is not waited for are two or four times the longest answer of the last ten seconds, at least 20 or 40 ms, and at most the 100 and 150 ms that were constants. Without answers lately they are these.

--- a/internal/coordination/steer/member.go
+++ b/internal/coordination/steer/member.go
@@ -165,5 +165,5 @@
 
 // seemsSilent reports whether the agent lately left questions or opening packets unanswered.
 func (a *agent) seemsSilent(now time.Time) bool {
-	return now.Before(a.suspectUntil) || (!a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) >= emptyAgentTimeout)
+	return now.Before(a.suspectUntil) || (!a.unansweredSince.IsZero() && now.Sub(a.unansweredSince) >= maxSilence)
 }
--- a/internal/coordination/steer/query.go
+++ b/internal/coordination/steer/query.go
@@ -47,7 +47,7 @@
 		case age >= r.replyTimeout(queryTimeout):
 			r.endQuery(id, q)
 			r.expireQuery(now, q)
-		case age >= r.replyTimeout(resendDelay) && !q.resent && r.awaited(q):
+		case age >= r.replyTimeout(r.resendDelay.Value(now)) && !q.resent && r.awaited(q):
 			r.resendQuestions(now, id, q)
 		}
 	}
@@ -55,7 +55,7 @@
 	due := map[flow.Endpoint][]flow.Key{}
 	for key, s := range r.searches {
 		switch {
-		case s.state == stateChain && now.Sub(s.enteredAt) >= r.replyTimeout(chainTimeout):
+		case s.state == stateChain && now.Sub(s.enteredAt) >= r.replyTimeout(r.chainTimeout.Value(now)):
 			s.enter(stateQueued, now)
 		case s.state == stateOffered && now.Sub(s.enteredAt) >= r.replyTimeout(queryTimeout):
 			r.endInconclusive(now, key, s, NotFoundAgentUncertain)
@@ -109,6 +109,8 @@
 	asked := q.asked[e.Agent]
 	if !asked.sentAt.IsZero() {
 		r.recordRoundTrip(now, asked.sentAt)
+		r.resendDelay.Observe(now, now.Sub(asked.sentAt))
+		r.silence.Observe(now, now.Sub(asked.sentAt))
 	}
 	q.asked[e.Agent] = question{incarnation: asked.incarnation}
 	q.pending--
@@ -146,12 +148,15 @@
 // finishIfDecided finishes a query once no agent is to be waited for, and reports whether
 // it did.
 func (r *Router) finishIfDecided(now time.Time, id uint16, q *query) bool {
-	due, decided := r.decidedAt(q)
+	if !q.resent {
+		r.advanceAt(now, q.askedAt.Add(r.replyTimeout(r.resendDelay.Value(now))))
+	}
+	due, decided := r.decidedAt(now, q)
 	if !decided {
 		return false
 	}
 	if now.Before(due) {
-		r.advanceAt(due)
+		r.advanceAt(now, due)
 		return false
 	}
 	r.recordSilence(q)
@@ -161,7 +166,7 @@
 
 // decidedAt returns when a query ends without the agents that have not replied, and false
 // if one of them may hold flows.
-func (r *Router) decidedAt(q *query) (time.Time, bool) {
+func (r *Router) decidedAt(now time.Time, q *query) (time.Time, bool) {
 	var due time.Time
 	for endpoint, asked := range q.asked {
 		if !asked.pending {
@@ -171,7 +176,7 @@
 		if a == nil || !a.member.NoFlows {
 			return time.Time{}, false
 		}
-		if at := r.waitForEmpty(q, a); at.After(due) {
+		if at := r.waitForEmpty(now, q, a); at.After(due) {
 			due = at
 		}
 	}
@@ -179,9 +184,9 @@
 }
 
 // waitForEmpty returns until when a query waits for an agent that holds no flows: until it
-// has been silent for emptyAgentTimeout, and has had the time to answer this query.
-func (r *Router) waitForEmpty(q *query, a *agent) time.Time {
-	timeout := r.replyTimeout(emptyAgentTimeout)
+// seems to be silent, and has had the time to answer this query.
+func (r *Router) waitForEmpty(now time.Time, q *query, a *agent) time.Time {
+	timeout := r.replyTimeout(r.silence.Value(now))
 	silentSince := a.unansweredSince
 	if silentSince.IsZero() {
 		silentSince = q.askedAt
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -14,9 +14,9 @@
 	// in turn. Nearly all flows are at one of their highest ranked agents.
 	maxChainLength = 6
 
-	// chainTimeout is the time allowed for passing the packet along the chain: a few
-	// hops between failure domains, and some queueing.
-	chainTimeout = 100 * time.Millisecond
+	// maxChainTimeout is the longest time allowed for passing the packet along the chain: a
+	// few hops between failure domains, and some queueing.
+	maxChainTimeout = 100 * time.Millisecond
 
 	// queryInterval is the time between two ticks while flows are searched for or packets
 	// are held, unless something is due before.
@@ -29,18 +29,22 @@
 	// queryTimeout is the time that agents have to answer a query or an offered packet.
 	queryTimeout = 400 * time.Millisecond
 
-	// emptyAgentTimeout is the silence after which queries stop waiting for an agent that
+	// maxSilence is the longest silence after which queries stop waiting for an agent that
 	// holds no flows: it answers at once if it is alive, and if it is not, no flow is
 	// missed. The silence may have begun with an earlier query.
-	emptyAgentTimeout = 150 * time.Millisecond
+	maxSilence = 150 * time.Millisecond
 
 	// minReplyDelay is the least time that such an agent has to answer a query even so, in
 	// case that it has come back. It has twice as long as the others took, if that is more.
 	minReplyDelay = 5 * time.Millisecond
 
-	// resendDelay is the time after which a query is repeated to the agents that have
-	// not replied. A reply takes a few milliseconds.
-	resendDelay = 100 * time.Millisecond
+	// maxResendDelay is the longest time after which a query is repeated to the agents that
+	// have not replied.
+	maxResendDelay = 100 * time.Millisecond
+
+	// minSearchTimeout is the least value of the timeouts that follow measured times: an
+	// agent may have to wait for the processor.
+	minSearchTimeout = 20 * time.Millisecond
 
 	// retryDelay is the time after which an inconclusive search asks again without
 	// another packet of the caller, and retryPeriod how long after the caller's last
@@ -116,6 +120,7 @@
 
 	isNew := s == nil
 	if isNew {
+		r.advanceAt(now, now.Add(r.replyTimeout(r.chainTimeout.Value(now))))
 		s = &search{state: stateChain, startedAt: now, enteredAt: now}
 		r.searches[key] = s
 	}
@@ -134,12 +139,13 @@
 // queueForQuery has the next query ask about a search's flow.
 func (r *Router) queueForQuery(now time.Time, s *search) {
 	s.enter(stateQueued, now)
-	r.advanceAt(now.Add(batchDelay))
+	r.advanceAt(now, now.Add(batchDelay))
 }
 
-// advanceAt has the searches advance at a time, if that is before the next regular tick.
-func (r *Router) advanceAt(due time.Time) {
-	if r.searchDue.IsZero() || due.Before(r.searchDue) {
+// advanceAt has the searches advance at a later time, if that is before the next regular
+// tick.
+func (r *Router) advanceAt(now, due time.Time) {
+	if due.After(now) && (r.searchDue.IsZero() || due.Before(r.searchDue)) {
 		r.searchDue = due
 	}
 }
@@ -194,6 +200,7 @@
 	}
 	switch s.state {
 	case stateChain:
+		r.chainTimeout.Observe(now, now.Sub(s.enteredAt))
 		r.queueForQuery(now, s)
 	case stateOffered:
 		s.uncertain = slices.DeleteFunc(s.uncertain, func(a flow.Endpoint) bool { return a == e.Agent && !e.Uncertain })
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -15,6 +15,7 @@
 	"github.com/coriandershift/coriandershift/internal/coordination/pick"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/delay"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
@@ -140,7 +141,13 @@
 	// nothing is due.
 	searchDue time.Time
 
-	searches    map[flow.Key]*search
+	searches map[flow.Key]*search
+
+	// chainTimeout is the time allowed for a chain. resendDelay is the time after which
+	// questions are repeated, and silence that after which an agent without flows is not
+	// waited for.
+	chainTimeout, resendDelay, silence delay.Timeout
+
 	queries     map[uint16]*query
 	delegations map[uint16]*delegation // by the QueryID of the DelegatedQuery
 	lastQueryID uint16                 // starts elsewhere in each process, so that late replies to an earlier one do not fit
@@ -191,6 +198,9 @@
 		lastQueryID:    uint16(now.UnixMilli()),
 		random:         rand.New(rand.NewPCG(roster.HashAddress(self.AddrPort()), uint64(now.UnixNano()))),
 		formerServices: map[flow.Endpoint][]string{},
+		chainTimeout:   delay.Timeout{Factor: 2, Floor: minSearchTimeout, Ceiling: maxChainTimeout},
+		resendDelay:    delay.Timeout{Factor: 2, Floor: minSearchTimeout, Ceiling: maxResendDelay},
+		silence:        delay.Timeout{Factor: 4, Floor: 2 * minSearchTimeout, Ceiling: maxSilence},
 	}
 	for _, apply := range options {
 		apply(r)
