Take the balancer's router apart

Router had 43 lines of fields for searches, membership, the budget of own messages and the placing of flows. Packages by what changes together, each without I/O:

- seek: the search for unknown flows (queries, delegations, conclusion)
- fleet: the agents by service, which may hold a flow, which take new ones
- known: when a balancer that has started knows all members
- budget: what own messages take of a narrow link

--- a/internal/coordination/steer/ask.go
+++ b/internal/coordination/seek/ask.go
@@ -1,10 +1,12 @@
-package steer
+package seek
 
 import (
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/budget"
+	"github.com/coriandershift/coriandershift/internal/coordination/fleet"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
@@ -38,54 +40,60 @@
 	repeated    bool      // it was sent the question again since
 }
 
+// questionCost returns the bytes on the link of asking agents about flows: the
+// questions and the replies.
+func questionCost(agents, flows int) int {
+	return agents * (2*budget.MessageLength + flows*(fwdmsg.QuestionLength+fwdmsg.StatusLength))
+}
+
 // sendQuery asks the agents that may have flows of a route about the flows in keys,
 // at least one and at most fwdmsg.MaxQuestions.
-func (r *Router) sendQuery(now time.Time, route *config.Route, keys []flow.Key) {
+func (s *Seeker) sendQuery(now time.Time, route *config.Route, keys []flow.Key) {
 	q := &query{
 		keys: slices.Clone(keys), asked: map[flow.Endpoint]question{},
 		delegateUses: map[flow.Endpoint]int{}, failedDelegates: map[flow.Endpoint]bool{},
 	}
 	questions := make([]fwdmsg.Question, 0, len(keys))
 	for _, key := range keys {
-		s := r.searches[key]
-		s.enter(stateQueried, now)
-		s.query, s.uncertain, s.retry = q, nil, false
-		s.queryCount++
-		questions = append(questions, fwdmsg.Question{Key: key, Acknowledged: s.acknowledged})
+		r := s.searches[key]
+		r.enter(stateQueried, now)
+		r.query, r.uncertain, r.retry = q, nil, false
+		r.queryCount++
+		questions = append(questions, fwdmsg.Question{Key: key, Acknowledged: r.acknowledged})
 	}
 	q.payload = fwdmsg.AppendQuestions(nil, questions)
 
-	id := r.nextQueryID()
-	r.queries[id] = q
-	r.askNext(now, id, q, route)
+	id := s.nextQueryID()
+	s.queries[id] = q
+	s.askNext(now, id, q, route)
 }
 
 // nextQueryID returns an ID that no query or delegation has.
-func (r *Router) nextQueryID() uint16 {
-	r.lastQueryID++
-	for r.lastQueryID == probeQueryID || r.queries[r.lastQueryID] != nil || r.delegations[r.lastQueryID] != nil {
-		r.lastQueryID++
+func (s *Seeker) nextQueryID() uint16 {
+	s.lastQueryID++
+	for s.lastQueryID == fwdmsg.ProbeQueryID || s.queries[s.lastQueryID] != nil || s.delegations[s.lastQueryID] != nil {
+		s.lastQueryID++
 	}
-	return r.lastQueryID
+	return s.lastQueryID
 }
 
 // endQuery forgets a query. Replies that arrive later are ignored.
-func (r *Router) endQuery(id uint16, q *query) {
-	delete(r.queries, id)
+func (s *Seeker) endQuery(id uint16, q *query) {
+	delete(s.queries, id)
 	for _, delegationID := range q.delegations {
-		delete(r.delegations, delegationID)
+		delete(s.delegations, delegationID)
 	}
 }
 
 // askNext asks up to maxAskedAtOnce agents that may have the flows of a query and were
 // not asked yet: those of a large service in turn, and those that were unknown or
 // another process before. It reports whether there were any.
-func (r *Router) askNext(now time.Time, id uint16, q *query, route *config.Route) bool {
-	live, dead := r.possibleHolders(now, route, q.keys[0].Hash())
-	var next []*agent
+func (s *Seeker) askNext(now time.Time, id uint16, q *query, route *config.Route) bool {
+	live, dead := s.fleet.PossibleHolders(now, route, q.keys[0].Hash())
+	var next []*fleet.Agent
 	for _, a := range slices.Concat(live, dead) {
-		asked, found := q.asked[a.endpoint]
-		if found && asked.incarnation == a.member.Incarnation {
+		asked, found := q.asked[a.Endpoint]
+		if found && asked.incarnation == a.Member.Incarnation {
 			continue
 		}
 		if len(next) == maxAskedAtOnce || len(q.asked) == maxQueriedAgents {
@@ -94,49 +102,49 @@
 		if !asked.pending {
 			q.pending++
 		}
-		q.asked[a.endpoint] = question{incarnation: a.member.Incarnation, pending: true}
+		q.asked[a.Endpoint] = question{incarnation: a.Member.Incarnation, pending: true}
 		next = append(next, a)
 	}
 	if len(next) == 0 {
 		return false
 	}
-	r.ask(now, id, q, next, live, 1)
+	s.ask(now, id, q, next, live, 1)
 	return true
 }
 
 // ask asks agents the questions of a query: directly while the budget covers that, which
 // is fastest, and otherwise through delegates, chosen from candidates. This is the given
 // attempt for these agents; after maxDelegates it is direct in any case.
-func (r *Router) ask(now time.Time, id uint16, q *query, agents, candidates []*agent, attempt int) {
+func (s *Seeker) ask(now time.Time, id uint16, q *query, agents, candidates []*fleet.Agent, attempt int) {
 	q.askedAt, q.resent = now, false
-	direct := r.coversDirectly(now, len(agents), len(q.keys))
+	direct := s.coversDirectly(now, len(agents), len(q.keys))
 	if attempt > 1 { // waiting for the next run takes less time than another delegate
-		direct = attempt > maxDelegates || r.budget.covers(now, questionCost(len(agents), len(q.keys)))
+		direct = attempt > maxDelegates || s.budget.Covers(now, questionCost(len(agents), len(q.keys)))
 	}
 	if direct {
-		r.askDirectly(now, id, q, agents)
+		s.askDirectly(now, id, q, agents)
 		return
 	}
 	for _, group := range groupsOf(agents) {
-		var delegate *agent
+		var delegate *fleet.Agent
 		if len(group) >= minDelegatedAgents {
-			delegate = r.chooseDelegate(now, q, candidates)
+			delegate = s.chooseDelegate(now, q, candidates)
 		}
 		if delegate == nil {
-			r.askDirectly(now, id, q, group)
+			s.askDirectly(now, id, q, group)
 			continue
 		}
-		r.delegate(now, id, q, delegate.endpoint, group, attempt)
+		s.delegate(now, id, q, delegate.Endpoint, group, attempt)
 	}
 }
 
 // groupsOf divides agents into groups for one delegate each. Agents that may leave a
 // question unanswered are in groups of their own, so that no delegate waits for them
 // while it has the replies of others.
-func groupsOf(agents []*agent) [][]*agent {
-	var replying, others []*agent
+func groupsOf(agents []*fleet.Agent) [][]*fleet.Agent {
+	var replying, others []*fleet.Agent
 	for _, a := range agents {
-		if a.mayReply() {
+		if a.MayReply() {
 			replying = append(replying, a)
 		} else {
 			others = append(others, a)
@@ -146,39 +154,36 @@
 }
 
 // askDirectly asks agents itself, those beyond this run in later ones.
-func (r *Router) askDirectly(now time.Time, id uint16, q *query, agents []*agent) {
-	r.budget.charge(now, questionCost(len(agents), len(q.keys)))
+func (s *Seeker) askDirectly(now time.Time, id uint16, q *query, agents []*fleet.Agent) {
+	s.budget.Charge(now, questionCost(len(agents), len(q.keys)))
 	for _, a := range agents {
-		q.asked[a.endpoint] = question{incarnation: a.member.Incarnation, pending: true}
-		q.waiting = append(q.waiting, a.endpoint)
+		q.asked[a.Endpoint] = question{incarnation: a.Member.Incarnation, pending: true}
+		q.waiting = append(q.waiting, a.Endpoint)
 	}
-	r.askWaiting(now, id, q)
+	s.askWaiting(now, id, q)
 }
 
-func (r *Router) sendQuestions(id uint16, q *query, to flow.Endpoint) {
-	r.run.bytes += messageLength + len(q.payload)
-	r.send(Action{
-		To: to, Packet: q.payload,
-		Envelope: fwdmsg.Envelope{Kind: fwdmsg.Query, QueryID: id, Balancer: r.self, Revision: r.cfg.Revision},
-	})
+func (s *Seeker) sendQuestions(id uint16, q *query, to flow.Endpoint) {
+	s.budget.CountSent(budget.MessageLength + len(q.payload))
+	s.add(Outcome{Kind: Ask, To: to, Message: fwdmsg.Query, QueryID: id, Packet: q.payload})
 }
 
 // resendQuestions repeats a query to the agents that have not replied, except those that
 // a delegate asks: with hundreds of agents, one datagram in a thousand lost would leave a
 // third of the queries incomplete. What does not fit this run follows in the next ones.
-func (r *Router) resendQuestions(now time.Time, id uint16, q *query) {
+func (s *Seeker) resendQuestions(now time.Time, id uint16, q *query) {
 	for _, agent := range slices.SortedFunc(maps.Keys(q.asked), flow.Endpoint.Compare) {
 		asked := q.asked[agent]
 		if !asked.pending || asked.sentAt.IsZero() || asked.repeated {
 			continue
 		}
-		if !r.fitsQuestions(q) {
+		if !s.fitsQuestions(q) {
 			return
 		}
 		asked.repeated = true
 		q.asked[agent] = asked
-		r.budget.charge(now, questionCost(1, len(q.keys)))
-		r.sendQuestions(id, q, agent)
+		s.budget.Charge(now, questionCost(1, len(q.keys)))
+		s.sendQuestions(id, q, agent)
 	}
 	q.resent = true
 }
--- a/internal/coordination/steer/delegation.go
+++ b/internal/coordination/seek/delegation.go
@@ -1,11 +1,13 @@
-package steer
+package seek
 
 import (
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/budget"
 	"github.com/coriandershift/coriandershift/internal/coordination/fanout"
+	"github.com/coriandershift/coriandershift/internal/coordination/fleet"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -43,75 +45,74 @@
 
 // delegationCost returns the bytes on the link of a delegated query and its reply.
 func delegationCost(agents, flows int) int {
-	return 2*messageLength + fwdmsg.DelegationLength(agents, flows) + fwdmsg.DelegatedRepliesLength(agents, flows)
+	return 2*budget.MessageLength + fwdmsg.DelegationLength(agents, flows) + fwdmsg.DelegatedRepliesLength(agents, flows)
 }
 
 // delegate has an agent ask others the questions of a query.
-func (r *Router) delegate(now time.Time, id uint16, q *query, to flow.Endpoint, agents []*agent, attempt int) {
+func (s *Seeker) delegate(now time.Time, id uint16, q *query, to flow.Endpoint, agents []*fleet.Agent, attempt int) {
 	d := &delegation{queryID: id, query: q, delegate: to, sentAt: now, attempt: attempt}
 	for _, a := range agents {
-		d.agents = append(d.agents, a.endpoint)
-		d.incarnations = append(d.incarnations, a.member.Incarnation)
-		q.asked[a.endpoint] = question{incarnation: a.member.Incarnation, pending: true}
+		d.agents = append(d.agents, a.Endpoint)
+		d.incarnations = append(d.incarnations, a.Member.Incarnation)
+		q.asked[a.Endpoint] = question{incarnation: a.Member.Incarnation, pending: true}
 	}
-	delegationID := r.nextQueryID()
-	r.delegations[delegationID] = d
+	delegationID := s.nextQueryID()
+	s.delegations[delegationID] = d
 	q.delegations = append(q.delegations, delegationID)
 	q.delegateUses[to]++
-	r.budget.charge(now, delegationCost(len(agents), len(q.keys)))
-	r.run.bytes += messageLength + fwdmsg.DelegationLength(len(agents), len(q.keys))
-	r.send(Action{
-		To: to, Packet: fwdmsg.AppendDelegation(nil, d.agents, q.payload),
-		Envelope: fwdmsg.Envelope{Kind: fwdmsg.DelegatedQuery, QueryID: delegationID, Balancer: r.self, Revision: r.cfg.Revision},
-	})
+	s.budget.Charge(now, delegationCost(len(agents), len(q.keys)))
+	s.budget.CountSent(budget.MessageLength + fwdmsg.DelegationLength(len(agents), len(q.keys)))
+	s.add(Outcome{Kind: Ask, To: to, Message: fwdmsg.DelegatedQuery, QueryID: delegationID, Packet: fwdmsg.AppendDelegation(nil, d.agents, q.payload)})
 }
 
-// handleDelegatedReply handles the replies that a delegate has collected. They count for
+// HandleDelegatedReply handles the replies that a delegate has collected. They count for
 // the processes that the agents were when the delegate was sent to them, also if the
-// delegate has been replaced since. A malformed reply is treated like a lost one.
-func (r *Router) handleDelegatedReply(now time.Time, e *fwdmsg.Envelope, payload []byte) {
-	d := r.delegations[e.QueryID]
+// delegate has been replaced since. A malformed reply is treated like a lost one. The
+// outcomes are valid until the next call.
+func (s *Seeker) HandleDelegatedReply(now time.Time, e *fwdmsg.Envelope, payload []byte) []Outcome {
+	s.outcomes = s.outcomes[:0]
+	d := s.delegations[e.QueryID]
 	if d == nil || d.delegate != e.Agent {
-		return
+		return nil
 	}
 	q := d.query
 	replies, err := fwdmsg.ParseDelegatedReplies(payload, len(d.agents), len(q.keys))
 	if err != nil {
-		return
+		return nil
 	}
 	d.answered = true
 	q.repliedAt = now
-	if a := r.agents[e.Agent]; a != nil {
-		a.recordDelegateReply()
+	if a := s.fleet.Agent(e.Agent); a != nil {
+		a.RecordDelegateReply()
 	}
 	for i, agent := range d.agents {
 		asked := q.asked[agent]
 		if replies.Answered[i] && asked.pending && asked.incarnation == d.incarnations[i] {
 			q.asked[agent] = question{incarnation: asked.incarnation}
 			q.pending--
-			if a := r.agents[agent]; a != nil {
-				a.unansweredSince = time.Time{}
+			if a := s.fleet.Agent(agent); a != nil {
+				a.RecordAnswered()
 			}
-			r.recordDelegated(now, q, i, agent, &replies)
+			s.recordDelegated(now, q, i, agent, &replies)
 		}
 	}
 
-	if r.finishIfDecided(now, d.queryID, q) {
-		return
+	if !s.finishIfDecided(now, d.queryID, q) {
+		s.replaceIfIncomplete(now, d)
 	}
-	r.replaceIfIncomplete(now, d)
+	return s.outcomes
 }
 
 // recordDelegated records what an agent, the one of index i, replied to a delegate.
-func (r *Router) recordDelegated(now time.Time, q *query, i int, agent flow.Endpoint, replies *fwdmsg.DelegatedReplies) {
+func (s *Seeker) recordDelegated(now time.Time, q *query, i int, agent flow.Endpoint, replies *fwdmsg.DelegatedReplies) {
 	for j, key := range q.keys {
-		s := r.searches[key]
+		r := s.searches[key]
 		switch {
-		case s == nil || !s.awaits(q):
+		case r == nil || !r.awaits(q):
 		case replies.Holders[j] == byte(i):
-			r.resolve(now, key, s, agent)
+			s.resolve(now, key, r, agent)
 		case replies.Uncertain[i]:
-			s.uncertain = append(s.uncertain, agent)
+			r.uncertain = append(r.uncertain, agent)
 		}
 	}
 }
@@ -129,7 +130,7 @@
 
 // replaceIfIncomplete asks the agents whose replies a delegate did not get in another
 // way. The next delegate is none of them.
-func (r *Router) replaceIfIncomplete(now time.Time, d *delegation) {
+func (s *Seeker) replaceIfIncomplete(now time.Time, d *delegation) {
 	silent := d.silent()
 	d.failed = len(silent) > 0
 	if !d.failed {
@@ -139,22 +140,22 @@
 	for _, agent := range silent {
 		d.query.failedDelegates[agent] = true
 	}
-	r.replaceDelegate(now, d)
+	s.replaceDelegate(now, d)
 }
 
 // expireDelegations replaces the delegates that did not answer in time.
-func (r *Router) expireDelegations(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(r.delegations)) {
-		d := r.delegations[id]
-		if !d.answered && !d.failed && now.Sub(d.sentAt) >= r.replyTimeout(delegateTimeout) {
+func (s *Seeker) expireDelegations(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(s.delegations)) {
+		d := s.delegations[id]
+		if !d.answered && !d.failed && now.Sub(d.sentAt) >= s.replyTimeout(delegateTimeout) {
 			d.failed = true
 			d.query.failedDelegates[d.delegate] = true
-			if a := r.agents[d.delegate]; a != nil {
-				a.recordDelegateSilence(now)
+			if a := s.fleet.Agent(d.delegate); a != nil {
+				a.RecordDelegateSilence(now)
 			}
 		}
 		if d.failed {
-			r.replaceDelegate(now, d)
+			s.replaceDelegate(now, d)
 		}
 	}
 }
@@ -162,21 +163,21 @@
 // replaceDelegate asks the agents of a failed delegation that have not replied in
 // another way, once the link permits. Agents that are dead or without flows are not
 // asked again.
-func (r *Router) replaceDelegate(now time.Time, d *delegation) {
-	route := r.routes[d.query.keys[0].Service]
-	if d.replaced || route == nil || !r.awaited(d.query) || !r.mayAsk(now) {
+func (s *Seeker) replaceDelegate(now time.Time, d *delegation) {
+	route := s.routes[d.query.keys[0].Service]
+	if d.replaced || route == nil || !s.awaited(d.query) || !s.mayAsk(now) {
 		return
 	}
 	d.replaced = true
-	var rest []*agent
+	var rest []*fleet.Agent
 	for _, endpoint := range d.silent() {
-		if a := r.agents[endpoint]; a != nil && a.mayReply() {
+		if a := s.fleet.Agent(endpoint); a != nil && a.MayReply() {
 			rest = append(rest, a)
 		}
 	}
 	if len(rest) == 0 {
 		return
 	}
-	live, _ := r.possibleHolders(now, route, d.query.keys[0].Hash())
-	r.ask(now, d.queryID, d.query, rest, live, d.attempt+1)
+	live, _ := s.fleet.PossibleHolders(now, route, d.query.keys[0].Hash())
+	s.ask(now, d.queryID, d.query, rest, live, d.attempt+1)
 }
--- /dev/null
+++ b/internal/coordination/seek/seek.go
@@ -0,0 +1,217 @@
+// Package seek searches for the agents that have the flows of packets which the fabric
+// delivered to a balancer that does not know them. A packet is passed along the agents that
+// most likely have its flow; if none of them has it, all agents that may have it are asked.
+// Only once each has answered that it does not is a flow gone. The package does no I/O.
+package seek
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/budget"
+	"github.com/coriandershift/coriandershift/internal/coordination/fleet"
+	"github.com/coriandershift/coriandershift/internal/state/config"
+	"github.com/coriandershift/coriandershift/internal/state/delay"
+	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/roster"
+)
+
+const (
+	// maxChainLength limits the agents to which a packet of an unknown flow is passed
+	// in turn.
+	maxChainLength = 6
+
+	// maxChainTimeout is the longest time allowed for passing the packet along the chain: a
+	// few hops between failure domains, and some queueing.
+	maxChainTimeout = 100 * time.Millisecond
+
+	// TickInterval is the time between two ticks while flows are searched for, unless
+	// something is due before.
+	TickInterval = 50 * time.Millisecond
+
+	// batchDelay is the time for which a flow waits for others that are asked about in the
+	// same query. Flows that are lost together come back from their agents together.
+	batchDelay = 5 * time.Millisecond
+
+	// queryTimeout is the time that agents have to answer a query or an offered packet.
+	queryTimeout = 400 * time.Millisecond
+
+	// maxSilence is the longest silence after which queries stop waiting for an agent that
+	// holds no flows: it answers at once if it is alive, and if it is not, no flow is
+	// missed. The silence may have begun with an earlier query.
+	maxSilence = 150 * time.Millisecond
+
+	// minReplyDelay is the least time that such an agent has to answer a query even so, in
+	// case that it has come back. It has twice as long as the others took, if that is more.
+	minReplyDelay = 5 * time.Millisecond
+
+	// maxResendDelay is the longest time after which a query is repeated to the agents that
+	// have not replied.
+	maxResendDelay = 100 * time.Millisecond
+
+	// minTimeout is the least value of the timeouts that follow measured times: an agent
+	// may have to wait for the processor.
+	minTimeout = 20 * time.Millisecond
+
+	// retryDelay is the time after which an inconclusive search asks again without
+	// another packet of the caller, and retryPeriod how long after the caller's last
+	// packet it does so. Callers retransmit a packet after 1.6 s at the latest.
+	retryDelay  = 200 * time.Millisecond
+	retryPeriod = 1800 * time.Millisecond
+
+	// maxRetryDoublings limits the doublings of retryDelay on a link with a budget.
+	maxRetryDoublings = 3
+
+	// searchTTL is the time after the caller's last packet at which a search is removed.
+	searchTTL = 4 * time.Second
+
+	// maxAskedAtOnce limits the agents that are asked about a flow at once; the others
+	// are asked after those have replied.
+	maxAskedAtOnce = 256
+
+	// maxQueriedAgents limits the agents that are asked about a flow. A balancer that
+	// knew few agents may have placed the flow at any of them, so with more agents than
+	// this a flow is never declared gone.
+	maxQueriedAgents = 4096
+
+	// maxSearches limits the searches that are kept, of up to 1.2 KB each.
+	maxSearches = 2048
+
+	// replyDelayFactor is the ratio of the time that agents have for replies to the
+	// average delay of notices, and maxReplyTimeout the longest such time on a slow link:
+	// callers repeat data after 1.6 s at the latest.
+	replyDelayFactor = 3
+	maxReplyTimeout  = 1500 * time.Millisecond
+)
+
+// Seeker searches for the flows of one balancer. It is not safe for concurrent use.
+type Seeker struct {
+	self   flow.Endpoint
+	fleet  *fleet.Fleet
+	budget *budget.Budget
+	routes map[flow.Endpoint]*config.Route
+
+	observeRoundTrip func(now time.Time, d time.Duration)
+
+	// converged says that the fleet has all agents.
+	converged bool
+
+	// noticeDelay is the average time from an opening packet to its notice.
+	noticeDelay time.Duration
+
+	// active says that some searches may need ticks. due is when the searches are to
+	// advance before the next regular tick, zero if nothing is due, and lastTick the latest
+	// tick.
+	active        bool
+	due, lastTick time.Time
+
+	searches    map[flow.Key]*search
+	queries     map[uint16]*query
+	delegations map[uint16]*delegation // by the QueryID of the DelegatedQuery
+	lastQueryID uint16                 // starts elsewhere in each process, so that late replies to an earlier one do not fit
+	random      *rand.Rand
+
+	// chainTimeout is the time allowed for a chain. resendDelay is the time after which
+	// questions are repeated, and silence that after which an agent without flows is not
+	// waited for.
+	chainTimeout, resendDelay, silence delay.Timeout
+
+	outcomes []Outcome
+}
+
+// New returns a Seeker for the balancer at the address self, started at now.
+// observeRoundTrip is called for each direct reply with the time since the question.
+func New(self flow.Endpoint, now time.Time, agents *fleet.Fleet, own *budget.Budget, observeRoundTrip func(now time.Time, d time.Duration)) *Seeker {
+	return &Seeker{
+		self:             self,
+		fleet:            agents,
+		budget:           own,
+		observeRoundTrip: observeRoundTrip,
+		searches:         map[flow.Key]*search{},
+		queries:          map[uint16]*query{},
+		delegations:      map[uint16]*delegation{},
+		lastQueryID:      uint16(now.UnixMilli()),
+		random:           rand.New(rand.NewPCG(roster.HashAddress(self.AddrPort()), uint64(now.UnixNano()))),
+		chainTimeout:     delay.Timeout{Factor: 2, Floor: minTimeout, Ceiling: maxChainTimeout},
+		resendDelay:      delay.Timeout{Factor: 2, Floor: minTimeout, Ceiling: maxResendDelay},
+		silence:          delay.Timeout{Factor: 4, Floor: 2 * minTimeout, Ceiling: maxSilence},
+	}
+}
+
+// Configure sets the routes in force by their addresses, which the Seeker keeps.
+func (s *Seeker) Configure(routes map[flow.Endpoint]*config.Route) {
+	s.routes = routes
+}
+
+// SetNoticeDelay sets the average time from an opening packet to its notice. On a link
+// whose rate is known, replies take as long.
+func (s *Seeker) SetNoticeDelay(d time.Duration) {
+	s.noticeDelay = d
+}
+
+// Converge takes the fleet as complete from now on. Searches that ended without a result
+// before are queued for another query, so that their callers get an answer.
+func (s *Seeker) Converge(now time.Time) {
+	s.converged = true
+	for _, r := range s.searches {
+		if r.state == stateEnded {
+			r.enter(stateQueued, now)
+		}
+	}
+}
+
+// Active reports whether searches need ticks.
+func (s *Seeker) Active() bool {
+	return s.active
+}
+
+// NextTick returns when Tick is due, and false if nothing is pending.
+func (s *Seeker) NextTick() (time.Time, bool) {
+	var due time.Time
+	if s.active {
+		due = s.lastTick.Add(TickInterval)
+	}
+	if !s.due.IsZero() && (due.IsZero() || s.due.Before(due)) {
+		due = s.due
+	}
+	return due, !due.IsZero()
+}
+
+// Tick advances the searches. The outcomes are valid until the next call.
+func (s *Seeker) Tick(now time.Time) []Outcome {
+	s.outcomes = s.outcomes[:0]
+	s.lastTick = now
+	s.due = time.Time{}
+	s.advance(now)
+	s.active = s.needsTicks()
+	return s.outcomes
+}
+
+// advanceAt has the searches advance at a later time, if that is before the next regular
+// tick.
+func (s *Seeker) advanceAt(now, due time.Time) {
+	if due.After(now) && (s.due.IsZero() || due.Before(s.due)) {
+		s.due = due
+	}
+}
+
+// replyTimeout extends a timeout for replies while they are known to take longer.
+func (s *Seeker) replyTimeout(timeout time.Duration) time.Duration {
+	if !s.budget.IsLimited() {
+		return timeout
+	}
+	return max(timeout, min(replyDelayFactor*s.noticeDelay, maxReplyTimeout))
+}
+
+func (s *Seeker) add(o Outcome) {
+	s.outcomes = append(s.outcomes, o)
+}
+
+// Sweep removes the searches whose callers have sent nothing for a while.
+func (s *Seeker) Sweep(now time.Time) {
+	for key, r := range s.searches {
+		if now.Sub(r.packetAt) > searchTTL {
+			delete(s.searches, key)
+		}
+	}
+}
--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/budget"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
@@ -12,7 +13,7 @@
 // valid until the next call of a method that returns actions.
 func (r *Router) HandleCallerPacket(now time.Time, p *flow.Packet) []Action {
 	r.actions = r.actions[:0]
-	r.use.countIn(now, datagramHeaders+len(p.Raw))
+	r.use.countIn(now, budget.DatagramHeaders+len(p.Raw))
 	key := p.KeyFromCaller()
 	if r.canPlaceFlows() || !r.hold(now, key, p) {
 		r.routeCallerPacket(now, key, p)
@@ -43,7 +44,7 @@
 		r.send(Action{Key: key, To: e.agent, Envelope: r.envelope(route, key, false), Packet: p.Raw})
 		return
 	}
-	r.lookup(now, key, p, route)
+	r.performSearch(now, r.seeker.Seek(now, key, p, route))
 }
 
 func (r *Router) envelope(route *config.Route, key flow.Key, wantNotice bool) fwdmsg.Envelope {
@@ -75,6 +76,6 @@
 
 func (r *Router) send(a Action) {
 	a.Kind = Send
-	r.use.out += messageLength + a.Envelope.RankCount*fwdmsg.EndpointLength + len(a.Packet)
+	r.use.out += budget.MessageLength + a.Envelope.RankCount*fwdmsg.EndpointLength + len(a.Packet)
 	r.actions = append(r.actions, a)
 }
--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -13,6 +13,9 @@
 	// 0.3 s, and callers retransmit an opening packet after 0.2 and 0.6 s.
 	maxHoldTime = 500 * time.Millisecond
 
+	// holdTickInterval is the time between two ticks while packets are held.
+	holdTickInterval = 50 * time.Millisecond
+
 	// maxHeldPackets limits the held packets, of up to 1.3 KB each.
 	maxHeldPackets = 512
 
@@ -36,7 +39,7 @@
 // whether it did. The fabric keeps delivering to a balancer that restarts quickly,
 // because it notices an outage only after two missed probes.
 func (r *Router) hold(now time.Time, key flow.Key, p *flow.Packet) bool {
-	if r.converged || now.Sub(r.started) >= maxHoldTime || len(r.heldPackets) >= maxHeldPackets {
+	if r.members.Converged() || now.Sub(r.started) >= maxHoldTime || len(r.heldPackets) >= maxHeldPackets {
 		return false
 	}
 	stored := *p
@@ -85,12 +88,6 @@
 	if r.placementReady {
 		return true
 	}
-	known := 0
-	for _, e := range r.expected {
-		if r.isKnown(e) {
-			known++
-		}
-	}
-	r.placementReady = r.converged || (r.cfg.Revision > 0 && r.EligibleAgentCount() > 0 && 2*known >= len(r.expected))
+	r.placementReady = r.members.Converged() || (r.cfg.Revision > 0 && r.EligibleAgentCount() > 0 && r.members.MostAreKnown())
 	return r.placementReady
 }
--- a/internal/coordination/steer/intake.go
+++ b/internal/coordination/steer/intake.go
@@ -65,20 +65,20 @@
 			r.reject(key, &held.packet, NoRoute)
 			continue
 		}
-		svc := r.services[route.PickService(key.Hash())]
+		service := route.PickService(key.Hash())
 		switch {
 		case verdict == intake.Refuse && (held.maybeCopied || !r.mayRefuse(now, 0)):
 			r.dropForLink(now, key, &held.packet)
 		case verdict == intake.Refuse && r.mayRefuse(now, age):
 			r.refuseForLink(now, key, &held.packet, route.Priority)
-		case svc == nil || len(svc.eligible) == 0:
+		case !r.fleet.HasEligible(service):
 			r.intake.Forget(key)
 			r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
 		default:
 			if verdict == intake.Refuse {
 				r.intake.Observe(now, &held.packet, route)
 			}
-			r.place(now, key, &held.packet, route, svc, verdict == intake.Refuse || held.maybeCopied || held.packet.SinceFirstSent > 0)
+			r.place(now, key, &held.packet, route, service, verdict == intake.Refuse || held.maybeCopied || held.packet.SinceFirstSent > 0)
 		}
 	}
 }
--- a/internal/coordination/steer/lateness.go
+++ b/internal/coordination/steer/lateness.go
@@ -74,14 +74,14 @@
 func (r *Router) mostAgentsLate(now time.Time) bool {
 	late, inTime, lateDomains := 0, 0, 0
 	excess := map[string]int{} // by domain, how many more agents are late than in time
-	for _, a := range r.agents {
-		switch lastMissed := a.missedNoticeAt.After(a.noticeInTimeAt); {
-		case lastMissed && now.Sub(a.missedNoticeAt) < latenessWindow:
+	for a := range r.fleet.Agents() {
+		switch lastMissed := a.MissedNoticeAt.After(a.NoticeInTimeAt); {
+		case lastMissed && now.Sub(a.MissedNoticeAt) < latenessWindow:
 			late++
-			excess[a.member.Domain]++
-		case !lastMissed && now.Sub(a.noticeInTimeAt) < latenessWindow:
+			excess[a.Member.Domain]++
+		case !lastMissed && now.Sub(a.NoticeInTimeAt) < latenessWindow:
 			inTime++
-			excess[a.member.Domain]--
+			excess[a.Member.Domain]--
 		}
 	}
 	for _, count := range excess {
@@ -91,21 +91,3 @@
 	}
 	return late >= minLateAgents && late > inTime && lateDomains >= minLateDomains
 }
-
-// replyTimeout extends a timeout for replies while they are known to take longer.
-func (r *Router) replyTimeout(timeout time.Duration) time.Duration {
-	if r.linkRate == 0 {
-		return timeout
-	}
-	return max(timeout, min(replyDelayFactor*r.noticeDelay, maxReplyTimeout))
-}
-
-const (
-	// replyDelayFactor is the ratio of the time that agents have for replies to the
-	// average delay of notices.
-	replyDelayFactor = 3
-
-	// maxReplyTimeout is the longest time for replies on a slow link. Callers repeat
-	// data after 1.6 s at the latest.
-	maxReplyTimeout = 1500 * time.Millisecond
-)
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/budget"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
@@ -13,9 +14,9 @@
 // call of a method that returns actions.
 func (r *Router) HandleAgentMessage(now time.Time, e *fwdmsg.Envelope, payload []byte, parse func([]byte) (flow.Packet, error)) []Action {
 	r.actions = r.actions[:0]
-	r.use.countIn(now, messageLength+len(payload))
-	if a := r.agents[e.Agent]; a != nil {
-		a.recordHeard(now)
+	r.use.countIn(now, budget.MessageLength+len(payload))
+	if a := r.fleet.Agent(e.Agent); a != nil {
+		a.RecordHeard(now)
 	}
 	switch e.Kind {
 	case fwdmsg.Notice:
@@ -28,9 +29,13 @@
 		}
 		r.handleReturned(now, e, &p)
 	case fwdmsg.QueryReply:
-		r.handleQueryReply(now, e, payload)
+		if e.QueryID == fwdmsg.ProbeQueryID {
+			r.members.RecordProbeReply(e.Agent)
+			break
+		}
+		r.performSearch(now, r.seeker.HandleReply(now, e, payload))
 	case fwdmsg.DelegatedReply:
-		r.handleDelegatedReply(now, e, payload)
+		r.performSearch(now, r.seeker.HandleDelegatedReply(now, e, payload))
 	}
 	r.placeWaiting(now)
 	return r.actions
@@ -40,14 +45,14 @@
 // flow that the agent refused is removed from the cache.
 func (r *Router) handleNotice(now time.Time, e *fwdmsg.Envelope, key flow.Key) {
 	pending := r.pendingOpens[key]
-	if a := r.agents[e.Agent]; a != nil {
-		a.recordLoad(now, e)
+	if a := r.fleet.Agent(e.Agent); a != nil {
+		a.RecordLoad(now, e)
 		if pending != nil && pending.agent == e.Agent && !pending.late {
-			a.noticeInTimeAt = now
+			a.NoticeInTimeAt = now
 		}
 	}
 	delete(r.pendingOpens, key)
-	delete(r.searches, key)
+	r.seeker.Forget(key)
 	if route := r.routes[key.Service]; route != nil {
 		r.intake.Learn(now, key.Service, route, int(e.RequestSize)*fwdmsg.RequestSizeUnit)
 	}
@@ -68,8 +73,9 @@
 	if pending != nil {
 		known.sawOpening = true
 		r.noticeDelay += (now.Sub(pending.placedAt) - r.noticeDelay) / noticeDelayWeight
+		r.seeker.SetNoticeDelay(r.noticeDelay)
 		if pending.agent == e.Agent {
-			r.recordRoundTrip(now, pending.placedAt)
+			r.recordRoundTrip(now, now.Sub(pending.placedAt))
 		}
 	}
 	known.agent = e.Agent
@@ -89,12 +95,12 @@
 		return // agents return no opening packets
 	}
 	if e.WantNotice { // sent by a search
-		r.handleUnclaimed(now, e, p)
+		r.performSearch(now, r.seeker.HandleReturned(now, e, key))
 		return
 	}
 
 	if known := r.flows[key]; known != nil && known.agent == e.Agent {
 		delete(r.flows, key)
-		r.lookup(now, key, p, route)
+		r.performSearch(now, r.seeker.Seek(now, key, p, route))
 	}
 }
--- a/internal/coordination/steer/option.go
+++ b/internal/coordination/steer/option.go
@@ -17,8 +17,5 @@
 // WithLinkRate sets the rate of the balancer's link in bytes per second, in each
 // direction; 0, the default, means that it is not known.
 func WithLinkRate(rate int) Option {
-	return func(r *Router) {
-		r.linkRate = rate
-		r.budget = newBudget(rate)
-	}
+	return func(r *Router) { r.linkRate = rate }
 }
--- a/internal/coordination/steer/place.go
+++ b/internal/coordination/steer/place.go
@@ -4,43 +4,22 @@
 	"slices"
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/budget"
+	"github.com/coriandershift/coriandershift/internal/coordination/fleet"
 	"github.com/coriandershift/coriandershift/internal/coordination/pick"
-	"github.com/coriandershift/coriandershift/internal/coordination/rank"
-	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
-const (
-	// suspectThreshold is the number of consecutive opening packets without a notice
-	// from which an agent is suspected, so that others are preferred.
-	suspectThreshold = 2
-
-	// suspectPeriod is the time for which others are preferred to a suspected agent.
-	// Then one packet tries the agent again. Each failed trial doubles the time, up to
-	// maxSuspectDoublings times: during a cut, the callers of the trials get late answers.
-	suspectPeriod       = time.Second
-	maxSuspectDoublings = 2
-
-	// maxRanked is the number of highest ranked agents among which those that are not
-	// suspected are chosen from.
-	maxRanked = 4 * pick.MaxChoices
-)
-
-// rankCandidates returns the agents to try for a new flow, the preferred one first,
-// and whether the flow is to be sent to that one only, because all are full. Suspected
-// agents are left out as long as there are others: a full agent would forward the flow
-// to them, where it might be lost.
-func (r *Router) rankCandidates(now time.Time, hash uint64, svc *service) ([]*agent, bool) {
-	chosen, suspects := r.highestRanked(now, hash, svc, r.policy.Choices)
-	if suspects > 0 {
-		chosen, _ = r.highestRanked(now, hash, svc, maxRanked)
-	}
-
+// rankCandidates returns the agents to try for a new flow of a service that has some, the
+// preferred one first, and whether the flow is to be sent to that one only, because all
+// are full.
+func (r *Router) rankCandidates(now time.Time, hash uint64, service string) ([]*fleet.Agent, bool) {
+	chosen := r.fleet.Ranked(now, hash, service, r.policy.Choices)
 	var candidates [pick.MaxChoices]pick.Candidate
 	var costs [pick.MaxChoices]float64
 	for i, a := range chosen {
-		candidates[i] = pick.Candidate{Load: &a.load, OtherDomain: a.member.Domain != r.domain, Suspected: now.Before(a.suspectUntil)}
+		candidates[i] = pick.Candidate{Load: &a.Load, OtherDomain: a.Member.Domain != r.domain, Suspected: a.IsSuspected(now)}
 	}
 	direct := r.policy.Costs(now, candidates[:len(chosen)], costs[:len(chosen)])
 	// An insertion sort keeps the order of ranks among equal costs and allocates nothing.
@@ -53,46 +32,6 @@
 	return chosen, direct
 }
 
-// highestRanked returns those of the count highest ranked agents that are not suspected,
-// up to the number of choices, or the suspected ones if there are no others. It also
-// returns how many are suspected.
-func (r *Router) highestRanked(now time.Time, hash uint64, svc *service, count int) ([]*agent, int) {
-	var order [maxRanked]int
-	var scores [maxRanked]uint64
-	count = rank.Top(hash, svc.eligible, order[:count], scores[:count])
-	chosen := make([]*agent, 0, pick.MaxChoices)
-	var suspected []*agent
-	for _, index := range order[:count] {
-		switch a := svc.agents[index]; {
-		case now.Before(a.suspectUntil):
-			suspected = append(suspected, a)
-		case len(chosen) < r.policy.Choices:
-			chosen = append(chosen, a)
-		}
-	}
-	if len(chosen) == 0 {
-		chosen = append(chosen, suspected[:min(len(suspected), r.policy.Choices)]...)
-	}
-	return chosen, len(suspected)
-}
-
-// recordLoad takes the load that the agent reports in a notice. The agent is no
-// longer suspected.
-func (a *agent) recordLoad(now time.Time, e *fwdmsg.Envelope) {
-	a.load.SetReport(now, pick.LoadReport{
-		Requests: int(e.Load), Slots: int(e.Slots), MeanDuration: time.Duration(e.MeanDuration) * 100 * time.Microsecond, UnansweredPercent: int(e.UnansweredPercent),
-	})
-	a.missedNotices = 0
-	a.suspectUntil = time.Time{}
-}
-
-func (a *agent) recordMissedNotice(now time.Time) {
-	a.missedNotices++
-	if excess := a.missedNotices - suspectThreshold; excess >= 0 {
-		a.suspectUntil = now.Add(suspectPeriod << min(excess, maxSuspectDoublings))
-	}
-}
-
 // routeOpening places a new flow, unless the link cannot carry it now. A retransmitted
 // opening packet goes to the same agent as the first.
 func (r *Router) routeOpening(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) {
@@ -109,8 +48,8 @@
 		return
 	}
 
-	svc := r.services[route.PickService(key.Hash())]
-	if svc == nil || len(svc.eligible) == 0 {
+	service := route.PickService(key.Hash())
+	if !r.fleet.HasEligible(service) {
 		r.actions = append(r.actions, Action{Kind: Drop, Reason: NoUpstream, Key: key})
 		return
 	}
@@ -120,13 +59,13 @@
 	} else if !r.admitToLink(now, key, p, route, maybeCopied) {
 		return
 	}
-	r.place(now, key, p, route, svc, maybeCopied)
+	r.place(now, key, p, route, service, maybeCopied)
 }
 
 // place sends the opening packet of a new flow to an agent of a service that has some
 // that are eligible. maybeCopied says that another balancer may have placed the flow.
-func (r *Router) place(now time.Time, key flow.Key, p *flow.Packet, route *config.Route, svc *service, maybeCopied bool) {
-	chosen, direct := r.rankCandidates(now, key.Hash(), svc)
+func (r *Router) place(now time.Time, key flow.Key, p *flow.Packet, route *config.Route, service string, maybeCopied bool) {
+	chosen, direct := r.rankCandidates(now, key.Hash(), service)
 	envelope := r.envelope(route, key, true)
 	envelope.MaybeDuplicate = maybeCopied
 	reason := Placed
@@ -135,25 +74,25 @@
 		reason = PlacedAllFull
 	} else {
 		for _, a := range chosen[1:] {
-			envelope.Ranks[envelope.RankCount] = a.endpoint
+			envelope.Ranks[envelope.RankCount] = a.Endpoint
 			envelope.RankCount++
 		}
 	}
 	first := chosen[0]
-	load, age := first.load.RequestsPerSlot(now), first.load.ReportAge(now)
+	load, age := first.Load.RequestsPerSlot(now), first.Load.ReportAge(now)
 	if len(r.flows) < maxFlows && len(r.pendingOpens) < maxPendingOpens {
-		r.flows[key] = &flowEntry{agent: first.endpoint, lastActive: now, openingSequence: p.Sequence, sawOpening: true}
+		r.flows[key] = &flowEntry{agent: first.Endpoint, lastActive: now, openingSequence: p.Sequence, sawOpening: true}
 		r.recordOpenSent(now)
-		r.pendingOpens[key] = &pendingOpen{sentAt: now, placedAt: now, packet: slices.Clone(p.Raw), envelope: envelope, agent: first.endpoint}
+		r.pendingOpens[key] = &pendingOpen{sentAt: now, placedAt: now, packet: slices.Clone(p.Raw), envelope: envelope, agent: first.Endpoint}
 	}
-	first.load.CountPlaced(now)
-	r.send(Action{Reason: reason, Key: key, To: first.endpoint, Envelope: envelope, Packet: p.Raw, Load: load, LoadAge: age})
+	first.Load.CountPlaced(now)
+	r.send(Action{Reason: reason, Key: key, To: first.Endpoint, Envelope: envelope, Packet: p.Raw, Load: load, LoadAge: age})
 }
 
 // tryNextAgent sends a timed-out opening packet to the next ranked agent, or gives
 // it up if none is left. Without budget for a copy it waits for another timeout.
 func (r *Router) tryNextAgent(now time.Time, key flow.Key, o *pendingOpen) {
-	if o.envelope.RankCount > 0 && !r.budget.take(now, 2*messageLength+len(o.packet)) {
+	if o.envelope.RankCount > 0 && !r.budget.Take(now, 2*budget.MessageLength+len(o.packet)) {
 		o.sentAt = now
 		return
 	}
@@ -169,8 +108,8 @@
 	if known := r.flows[key]; known != nil {
 		known.agent = next
 	}
-	if a := r.agents[next]; a != nil {
-		a.load.CountPlaced(now)
+	if a := r.fleet.Agent(next); a != nil {
+		a.Load.CountPlaced(now)
 	}
 	r.send(Action{Reason: PlacedNextAfterSilence, Key: key, To: next, Envelope: o.envelope, Packet: o.packet})
 }
--- a/internal/coordination/steer/roundtrip.go
+++ b/internal/coordination/steer/roundtrip.go
@@ -9,9 +9,9 @@
 	return func(r *Router) { r.observeRoundTrip = observe }
 }
 
-// recordRoundTrip passes on that a message sent at sentAt was answered now.
-func (r *Router) recordRoundTrip(now, sentAt time.Time) {
+// recordRoundTrip passes on that a message was answered now, d after it was sent.
+func (r *Router) recordRoundTrip(now time.Time, d time.Duration) {
 	if r.observeRoundTrip != nil {
-		r.observeRoundTrip(now, now.Sub(sentAt))
+		r.observeRoundTrip(now, d)
 	}
 }
--- a/internal/coordination/steer/silence.go
+++ b/internal/coordination/steer/silence.go
@@ -15,9 +15,9 @@
 // An opening that waited for the link or the budget until its caller gave up is dropped.
 func (r *Router) handleSilence(now time.Time, key flow.Key, o *pendingOpen) {
 	o.late = true
-	a := r.agents[o.agent]
+	a := r.fleet.Agent(o.agent)
 	if a != nil {
-		a.missedNoticeAt = now
+		a.MissedNoticeAt = now
 	}
 	callerLeft := r.linkRate > 0 && now.Sub(o.placedAt) >= callerOpenTimeout
 	if r.linkSlow(now) && !callerLeft {
@@ -25,7 +25,7 @@
 		return
 	}
 	if a != nil && !o.counted {
-		a.recordMissedNotice(now)
+		a.RecordMissedNotice(now)
 		o.counted = true
 	}
 	if callerLeft {
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -6,18 +6,19 @@
 package steer
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/budget"
+	"github.com/coriandershift/coriandershift/internal/coordination/fleet"
 	"github.com/coriandershift/coriandershift/internal/coordination/intake"
+	"github.com/coriandershift/coriandershift/internal/coordination/known"
 	"github.com/coriandershift/coriandershift/internal/coordination/pick"
+	"github.com/coriandershift/coriandershift/internal/coordination/seek"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
-	"github.com/coriandershift/coriandershift/internal/state/delay"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
-	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
 
 const (
@@ -91,8 +92,7 @@
 	// linkRate is the rate of this balancer's link in bytes per second, 0 if not known.
 	linkRate int
 	use      linkUse
-	budget   budget
-	run      run
+	budget   *budget.Budget
 
 	// late is the result of linkSlow at latenessCheckedAt.
 	late              bool
@@ -112,12 +112,12 @@
 	cfg         *config.Config
 	idleTimeout time.Duration
 	routes      map[flow.Endpoint]*config.Route
-	services    map[string]*service
-	agents      map[flow.Endpoint]*agent
 
-	// formerServices are, by route address, the services that the route led to in
-	// earlier configurations and does not lead to now.
-	formerServices map[flow.Endpoint][]string
+	// members says when all agents are known, fleet which they are, and seeker finds the
+	// flows that this balancer does not know among them.
+	members *known.Members
+	fleet   *fleet.Fleet
+	seeker  *seek.Seeker
 
 	flows        map[flow.Key]*flowEntry
 	pendingOpens map[flow.Key]*pendingOpen
@@ -133,41 +133,8 @@
 
 	noticeDelay time.Duration // moving average of the time from an opening packet to its notice
 
-	// searches are the searches for flows that were not found yet. searchesActive says
-	// that some of them may need ticks.
-	searchesActive bool
-
-	// searchDue is when the searches are to advance before the next regular tick, zero if
-	// nothing is due.
-	searchDue time.Time
-
-	searches map[flow.Key]*search
-
-	// chainTimeout is the time allowed for a chain. resendDelay is the time after which
-	// questions are repeated, and silence that after which an agent without flows is not
-	// waited for.
-	chainTimeout, resendDelay, silence delay.Timeout
-
-	queries     map[uint16]*query
-	delegations map[uint16]*delegation // by the QueryID of the DelegatedQuery
-	lastQueryID uint16                 // starts elsewhere in each process, so that late replies to an earlier one do not fit
-	random      *rand.Rand
-
-	// expected are the members that were known before the start; valid if expectedSet.
-	// unansweredProbes counts, for each of them that this balancer had not heard of when it
-	// last probed, the latest probes without an answer.
-	// balancers has an entry for each known balancer, this one included: true if it is
-	// another one that was alive and had converged (its Weight was above 0) when this
-	// balancer first heard of it.
-	expected         []flow.Endpoint
-	unansweredProbes map[flow.Endpoint]int
-	lastProbe        time.Time
-	balancers        map[flow.Endpoint]bool
-	expectedSet      bool
-	synced           bool // a balancer that knows all members has the same list as this one
-	converged        bool // the list of agents is taken as complete
-	lastTick         time.Time
-	lateTickAt       time.Time // the latest tick that came late for an opening packet
+	lastTick   time.Time
+	lateTickAt time.Time // the latest tick that came late for an opening packet
 
 	lastSweep time.Time
 	actions   []Action
@@ -178,33 +145,25 @@
 func New(self flow.Endpoint, domain string, now time.Time, options ...Option) *Router {
 	refused, _ := simplelru.NewLRU[flow.Key, refusal](maxRefused, nil) // fails only for a size below 1
 	r := &Router{
-		refused:        refused,
-		policy:         pick.DefaultPolicy,
-		cfg:            &config.Config{},
-		started:        now,
-		self:           self,
-		domain:         domain,
-		idleTimeout:    defaultIdleTimeout,
-		routes:         map[flow.Endpoint]*config.Route{},
-		services:       map[string]*service{},
-		agents:         map[flow.Endpoint]*agent{},
-		balancers:      map[flow.Endpoint]bool{},
-		flows:          map[flow.Key]*flowEntry{},
-		pendingOpens:   map[flow.Key]*pendingOpen{},
-		waitingOpens:   map[flow.Key]heldPacket{},
-		searches:       map[flow.Key]*search{},
-		queries:        map[uint16]*query{},
-		delegations:    map[uint16]*delegation{},
-		lastQueryID:    uint16(now.UnixMilli()),
-		random:         rand.New(rand.NewPCG(roster.HashAddress(self.AddrPort()), uint64(now.UnixNano()))),
-		formerServices: map[flow.Endpoint][]string{},
-		chainTimeout:   delay.Timeout{Factor: 2, Floor: minSearchTimeout, Ceiling: maxChainTimeout},
-		resendDelay:    delay.Timeout{Factor: 2, Floor: minSearchTimeout, Ceiling: maxResendDelay},
-		silence:        delay.Timeout{Factor: 4, Floor: 2 * minSearchTimeout, Ceiling: maxSilence},
+		refused:      refused,
+		policy:       pick.DefaultPolicy,
+		cfg:          &config.Config{},
+		started:      now,
+		self:         self,
+		domain:       domain,
+		idleTimeout:  defaultIdleTimeout,
+		routes:       map[flow.Endpoint]*config.Route{},
+		fleet:        fleet.New(now),
+		flows:        map[flow.Key]*flowEntry{},
+		pendingOpens: map[flow.Key]*pendingOpen{},
+		waitingOpens: map[flow.Key]heldPacket{},
 	}
 	for _, apply := range options {
 		apply(r)
 	}
+	r.budget = budget.New(r.linkRate)
+	r.members = known.New(self, now, func(e flow.Endpoint) bool { return r.fleet.Agent(e) != nil })
+	r.seeker = seek.New(self, now, r.fleet, r.budget, r.recordRoundTrip)
 	r.intake = intake.New(r.linkRate)
 	return r
 }
@@ -218,21 +177,10 @@
 	for i := range cfg.Routes {
 		routes[flow.EndpointOf(cfg.Routes[i].Address)] = &cfg.Routes[i]
 	}
-	r.recordFormerServices(routes)
 	r.routes = routes
 	r.cfg = cfg
-	for _, svc := range r.services {
-		svc.updateCandidates(cfg)
-	}
-}
-
-// EligibleAgentCount returns how many agents take new flows.
-func (r *Router) EligibleAgentCount() int {
-	count := 0
-	for _, svc := range r.services {
-		count += len(svc.eligible)
-	}
-	return count
+	r.fleet.Configure(cfg)
+	r.seeker.Configure(routes)
 }
 
 // FlowCount returns how many flows are cached.
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -10,12 +10,9 @@
 
 // NextTick returns when Tick is due, and false if nothing is pending.
 func (r *Router) NextTick() (time.Time, bool) {
-	var due time.Time
-	if r.searchesActive || len(r.heldPackets) > 0 {
-		due = r.lastTick.Add(queryInterval)
-	}
-	if !r.searchDue.IsZero() && (due.IsZero() || r.searchDue.Before(due)) {
-		due = r.searchDue
+	due, _ := r.seeker.NextTick()
+	if at := r.lastTick.Add(holdTickInterval); len(r.heldPackets) > 0 && (due.IsZero() || at.Before(due)) {
+		due = at
 	}
 	if at, pending := r.nextOpenDue(); pending && (due.IsZero() || at.Before(due)) {
 		due = at
@@ -57,11 +54,9 @@
 	r.checkConverged(now)
 	r.routeHeld(now)
 	r.placeWaiting(now)
-	r.searchDue = time.Time{}
-	r.advanceSearches(now)
+	r.performSearch(now, r.seeker.Tick(now))
 	r.retryOpens(now, delay)
 	r.sweep(now)
-	r.searchesActive = r.searchesNeedTicks()
 	return r.actions
 }
 
@@ -93,7 +88,7 @@
 // 0. It is 0, too, while searches or held packets need ticks.
 func (r *Router) tickDelay(now time.Time) time.Duration {
 	due, pending := r.NextTick()
-	if delay := now.Sub(due); pending && !r.searchesActive && len(r.heldPackets) == 0 && delay > lateTickThreshold {
+	if delay := now.Sub(due); pending && !r.seeker.Active() && len(r.heldPackets) == 0 && delay > lateTickThreshold {
 		return delay
 	}
 	return 0
@@ -122,12 +117,8 @@
 		return
 	}
 	r.lastSweep = now
-	r.evictDeadAgents(now)
-	for key, s := range r.searches {
-		if now.Sub(s.packetAt) > searchTTL {
-			delete(r.searches, key)
-		}
-	}
+	r.fleet.EvictDead(now)
+	r.seeker.Sweep(now)
 	for key, e := range r.flows {
 		idle := now.Sub(e.lastActive)
 		if idle > r.idleTimeout || (e.closing && idle > closedFlowTTL) {
