Limit the questions that a balancer asks while many flows are lost

Cause: since queries go out 5 ms after the first flow of a batch, a balancer of a large service sends one each 5 ms while flows are lost one by one: 126,770 questions a second at 300 agents and 500 flows a second.

Change: each question delays the next query by 100 us, up to the 50 ms that were between all queries before. A flow that is lost alone is asked about after 5 ms as now.

--- a/internal/coordination/seek/query.go
+++ b/internal/coordination/seek/query.go
@@ -66,6 +66,13 @@
 			due[key.Service] = append(due[key.Service], key)
 		}
 	}
+	if len(due) == 0 {
+		return
+	}
+	if now.Before(s.nextQueryAt) {
+		s.advanceAt(now, s.nextQueryAt)
+		return
+	}
 	for _, address := range slices.SortedFunc(maps.Keys(due), flow.Endpoint.Compare) {
 		if route := s.routes[address]; route != nil {
 			s.askAbout(now, route, due[address])
@@ -86,6 +93,7 @@
 			break
 		}
 		s.sendQuery(now, route, keys[:count])
+		s.nextQueryAt = now.Add(min(TickInterval, time.Duration(len(live)+len(dead))*questionTime))
 		keys = keys[count:]
 	}
 	for _, key := range keys {
--- a/internal/coordination/seek/search.go
+++ b/internal/coordination/seek/search.go
@@ -87,7 +87,11 @@
 // queueForQuery has the next query ask about a search's flow.
 func (s *Seeker) queueForQuery(now time.Time, r *search) {
 	r.enter(stateQueued, now)
-	s.advanceAt(now, now.Add(batchDelay))
+	due := now.Add(batchDelay)
+	if due.Before(s.nextQueryAt) {
+		due = s.nextQueryAt
+	}
+	s.advanceAt(now, due)
 }
 
 func (r *search) enter(next searchState, now time.Time) {
--- a/internal/coordination/seek/seek.go
+++ b/internal/coordination/seek/seek.go
@@ -33,6 +33,11 @@
 	// same query. Flows that are lost together come back from their agents together.
 	batchDelay = 5 * time.Millisecond
 
+	// questionTime is the time by which each question delays the next query, up to a
+	// TickInterval. It limits the processor time that balancer and agents spend while many
+	// flows are lost one by one: more of them are asked about together.
+	questionTime = 100 * time.Microsecond
+
 	// queryTimeout is the time that agents have to answer a query or an offered packet.
 	queryTimeout = 400 * time.Millisecond
 
@@ -105,6 +110,9 @@
 	active        bool
 	due, lastTick time.Time
 
+	// nextQueryAt is the earliest time of the next query.
+	nextQueryAt time.Time
+
 	searches    map[flow.Key]*search
 	queries     map[uint16]*query
 	delegations map[uint16]*delegation // by the QueryID of the DelegatedQuery
--- a/internal/coordination/steer/gone_test.go
+++ b/internal/coordination/steer/gone_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
 )
@@ -138,3 +139,34 @@
 		t.Errorf("told after %v although it has reported", got)
 	}
 }
+
+// The load is callers of a large service who all use flows that were lost in an outage, at
+// one balancer. Its questions are limited, and each caller is told soon even so.
+func TestQuestionsAreLimitedWhileManyFlowsAreLost(t *testing.T) {
+	const agentCount, flows, interval = 300, 1000, 2 * time.Millisecond
+	fs := newGoneSim(t, agentCount, 10, 0)
+	b := fs.balancers[0]
+	sentAt := map[uint16]time.Time{}
+	for port := range uint16(flows) {
+		sentAt[port] = fs.now
+		fs.lost(b, 1+port)
+		fs.run(interval)
+	}
+	fs.run(time.Second)
+	var longest time.Duration
+	for port, at := range sentAt {
+		goneAt := b.gone[data(1+port).KeyFromCaller()]
+		if goneAt.IsZero() {
+			t.Fatalf("flow %d is not declared gone", port)
+		}
+		longest = max(longest, goneAt.Sub(at))
+	}
+	perSecond := float64(b.sent[fwdmsg.Query]) / (flows * interval).Seconds()
+	t.Logf("%.0f questions a second, longest search %v", perSecond, longest)
+	if perSecond > 12_000 {
+		t.Errorf("%.0f questions a second, want at most 10,000 and repeats", perSecond)
+	}
+	if longest > 250*time.Millisecond {
+		t.Errorf("a search took %v", longest)
+	}
+}
