--- a/internal/coordination/fleet/agent.go
+++ b/internal/coordination/fleet/agent.go
@@ -21,7 +21,7 @@
 	maxSuspectDoublings = 2
 
 	// silentPeriod is the time without an answer to a question after which an agent seems
-	// to be silent.
+	// to be silent: any that runs has had the processor by then.
 	silentPeriod = 150 * time.Millisecond
 
 	// heardPeriod is the time after an agent's last message in which it may be chosen as
--- a/internal/coordination/fleet/holder.go
+++ b/internal/coordination/fleet/holder.go
@@ -24,8 +24,8 @@
 	// come back, with open flows at its upstream.
 	deadGracePeriod = 5 * time.Second
 
-	// maxLikely is the largest number of likely holders.
-	maxLikely = 6
+	// MaxLikely is the largest number of likely holders.
+	MaxLikely = 6
 )
 
 // PossibleHolders returns the agents that may have a flow of a route. Agents that died less
@@ -54,13 +54,13 @@
 	return len(f.services) <= maxSearchedServices || now.Sub(f.started) >= maxFlowLifetime
 }
 
-// LikelyHolders returns up to six agents that may have a flow and answer, in the order of
+// LikelyHolders returns up to MaxLikely agents that may have a flow and answer, in the order of
 // likelihood. Nearly all flows are at one of them. An agent that does not answer would end
 // the chain along which a packet is passed.
 func (f *Fleet) LikelyHolders(now time.Time, route *config.Route, hash uint64) []*Agent {
-	var order [2 * maxLikely]int
-	var scores [2 * maxLikely]uint64
-	agents := make([]*Agent, 0, maxLikely)
+	var order [2 * MaxLikely]int
+	var scores [2 * MaxLikely]uint64
+	agents := make([]*Agent, 0, MaxLikely)
 	for _, name := range f.candidateServices(now, route, hash) {
 		svc := f.services[name]
 		if svc == nil {
@@ -71,7 +71,7 @@
 			if a := svc.agents[i]; !a.SeemsSilent(now) {
 				agents = append(agents, a)
 			}
-			if len(agents) == maxLikely {
+			if len(agents) == MaxLikely {
 				return agents
 			}
 		}
--- a/internal/coordination/seek/finish.go
+++ b/internal/coordination/seek/finish.go
@@ -41,9 +41,12 @@
 }
 
 // decidedAt returns when a query ends without the agents that have not replied, and false
-// if one of them may hold flows.
+// if one of them may hold flows or is still to be asked.
 func (s *Seeker) decidedAt(now time.Time, q *query) (time.Time, bool) {
 	var due time.Time
+	if len(q.waiting) > 0 && s.awaited(q) {
+		return due, false
+	}
 	for endpoint, asked := range q.asked {
 		if !asked.pending {
 			continue
--- a/internal/coordination/seek/query.go
+++ b/internal/coordination/seek/query.go
@@ -93,7 +93,7 @@
 			break
 		}
 		s.sendQuery(now, route, keys[:count])
-		s.nextQueryAt = now.Add(min(TickInterval, time.Duration(len(live)+len(dead))*questionTime))
+		s.nextQueryAt = now.Add(min(tickInterval, time.Duration(len(live)+len(dead))*questionTime))
 		keys = keys[count:]
 	}
 	for _, key := range keys {
@@ -113,9 +113,7 @@
 	}
 	asked := q.asked[e.Agent]
 	if !asked.sentAt.IsZero() {
-		s.observeRoundTrip(now, now.Sub(asked.sentAt))
-		s.resendDelay.Observe(now, now.Sub(asked.sentAt))
-		s.silence.Observe(now, now.Sub(asked.sentAt))
+		s.recordRoundTrip(now, now.Sub(asked.sentAt))
 	}
 	q.asked[e.Agent] = question{incarnation: asked.incarnation}
 	q.pending--
@@ -177,3 +175,12 @@
 	}
 	return flow.Endpoint{}
 }
+
+// recordRoundTrip records how long an agent took to reply to a question.
+func (s *Seeker) recordRoundTrip(now time.Time, d time.Duration) {
+	s.resendDelay.Observe(now, d)
+	s.silence.Observe(now, d)
+	if s.observeRoundTrip != nil {
+		s.observeRoundTrip(now, d)
+	}
+}
--- a/internal/coordination/seek/search.go
+++ b/internal/coordination/seek/search.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/coriandershift/coriandershift/internal/coordination/fleet"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
@@ -127,7 +128,7 @@
 	}
 
 	var next []flow.Endpoint
-	for _, a := range agents[1:min(len(agents), maxChainLength)] {
+	for _, a := range agents[1:min(len(agents), fleet.MaxLikely)] {
 		next = append(next, a.Endpoint)
 	}
 	s.add(Outcome{Kind: Pass, Key: key, To: agents[0].Endpoint, Next: next, WantNotice: wantNotice, Packet: packet})
--- a/internal/coordination/seek/seek.go
+++ b/internal/coordination/seek/seek.go
@@ -17,24 +17,20 @@
 )
 
 const (
-	// maxChainLength limits the agents to which a packet of an unknown flow is passed
-	// in turn.
-	maxChainLength = 6
-
 	// maxChainTimeout is the longest time allowed for passing the packet along the chain: a
 	// few hops between failure domains, and some queueing.
 	maxChainTimeout = 100 * time.Millisecond
 
-	// TickInterval is the time between two ticks while flows are searched for, unless
+	// tickInterval is the time between two ticks while flows are searched for, unless
 	// something is due before.
-	TickInterval = 50 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 
 	// batchDelay is the time for which a flow waits for others that are asked about in the
 	// same query. Flows that are lost together come back from their agents together.
 	batchDelay = 5 * time.Millisecond
 
 	// questionTime is the time by which each question delays the next query, up to a
-	// TickInterval. It limits the processor time that balancer and agents spend while many
+	// tickInterval. It limits the processor time that balancer and agents spend while many
 	// flows are lost one by one: more of them are asked about together.
 	questionTime = 100 * time.Microsecond
 
@@ -96,7 +92,7 @@
 	budget *budget.Budget
 	routes map[flow.Endpoint]*config.Route
 
-	observeRoundTrip func(now time.Time, d time.Duration)
+	observeRoundTrip func(now time.Time, d time.Duration) // may be nil
 
 	// converged says that the fleet has all agents.
 	converged bool
@@ -127,23 +123,35 @@
 	outcomes []Outcome
 }
 
-// New returns a Seeker for the balancer at the address self, started at now.
-// observeRoundTrip is called for each direct reply with the time since the question.
-func New(self flow.Endpoint, now time.Time, agents *fleet.Fleet, own *budget.Budget, observeRoundTrip func(now time.Time, d time.Duration)) *Seeker {
-	return &Seeker{
-		self:             self,
-		fleet:            agents,
-		budget:           own,
-		observeRoundTrip: observeRoundTrip,
-		searches:         map[flow.Key]*search{},
-		queries:          map[uint16]*query{},
-		delegations:      map[uint16]*delegation{},
-		lastQueryID:      uint16(now.UnixMilli()),
-		random:           rand.New(rand.NewPCG(roster.HashAddress(self.AddrPort()), uint64(now.UnixNano()))),
-		chainTimeout:     delay.Timeout{Factor: 2, Floor: minTimeout, Ceiling: maxChainTimeout},
-		resendDelay:      delay.Timeout{Factor: 2, Floor: minTimeout, Ceiling: maxResendDelay},
-		silence:          delay.Timeout{Factor: 4, Floor: 2 * minTimeout, Ceiling: maxSilence},
+// Option configures a new Seeker.
+type Option func(*Seeker)
+
+// WithRoundTripObserver has observe called for each direct reply to a question. now is when
+// it was handled, d the time since the question.
+func WithRoundTripObserver(observe func(now time.Time, d time.Duration)) Option {
+	return func(s *Seeker) { s.observeRoundTrip = observe }
+}
+
+// New returns a Seeker for the balancer at the address self, started at now, whose agents
+// and budget for own messages are given.
+func New(self flow.Endpoint, now time.Time, agents *fleet.Fleet, own *budget.Budget, options ...Option) *Seeker {
+	s := &Seeker{
+		self:         self,
+		fleet:        agents,
+		budget:       own,
+		searches:     map[flow.Key]*search{},
+		queries:      map[uint16]*query{},
+		delegations:  map[uint16]*delegation{},
+		lastQueryID:  uint16(now.UnixMilli()),
+		random:       rand.New(rand.NewPCG(roster.HashAddress(self.AddrPort()), uint64(now.UnixNano()))),
+		chainTimeout: delay.Timeout{Factor: 2, Floor: minTimeout, Ceiling: maxChainTimeout},
+		resendDelay:  delay.Timeout{Factor: 2, Floor: minTimeout, Ceiling: maxResendDelay},
+		silence:      delay.Timeout{Factor: 4, Floor: 2 * minTimeout, Ceiling: maxSilence},
+	}
+	for _, apply := range options {
+		apply(s)
 	}
+	return s
 }
 
 // Configure sets the routes in force by their addresses, which the Seeker keeps.
@@ -177,7 +185,7 @@
 func (s *Seeker) NextTick() (time.Time, bool) {
 	var due time.Time
 	if s.active {
-		due = s.lastTick.Add(TickInterval)
+		due = s.lastTick.Add(tickInterval)
 	}
 	if !s.due.IsZero() && (due.IsZero() || s.due.Before(due)) {
 		due = s.due
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -163,7 +163,7 @@
 	}
 	r.budget = budget.New(r.linkRate)
 	r.members = known.New(self, now, func(e flow.Endpoint) bool { return r.fleet.Agent(e) != nil })
-	r.seeker = seek.New(self, now, r.fleet, r.budget, r.recordRoundTrip)
+	r.seeker = seek.New(self, now, r.fleet, r.budget, seek.WithRoundTripObserver(r.recordRoundTrip))
 	r.intake = intake.New(r.linkRate)
 	return r
 }
