--- a/internal/protocol/fwdmsg/fwdmsg.go
+++ b/internal/protocol/fwdmsg/fwdmsg.go
@@ -56,9 +56,6 @@
 	DelegatedReply Kind = 22
 )
 
-// ProbeQueryID is the QueryID of queries that only find out whether an agent runs.
-const ProbeQueryID = 0
-
 // RequestSizeUnit is the unit of Envelope.RequestSize in bytes.
 const RequestSizeUnit = 64
 
--- a/internal/protocol/fwdmsg/query.go
+++ b/internal/protocol/fwdmsg/query.go
@@ -6,6 +6,9 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
+// ProbeQueryID is the QueryID of queries that only find out whether an agent runs.
+const ProbeQueryID = 0
+
 // MaxQuestions is the largest number of flows in a Query, so that it fits a packet.
 const MaxQuestions = 64
 
