--- a/internal/state/delay/delay.go
+++ b/internal/state/delay/delay.go
@@ -11,7 +11,7 @@
 )
 
 // Timeout is a timeout for answers: a multiple of the longest time that one took within
-// the last ten seconds. The zero value has seen no answer and is Ceiling.
+// the last ten seconds, and Ceiling without any.
 type Timeout struct {
 	// Factor is the multiple, at least 1.
 	Factor int
