Review: balancers that were cut off together reset open flows after the cut

Two balancers and the agents of a zone are cut off for 9 to 12 s; the third balancer of the zone is stopped afterwards.

--- a/review/testdata/drive/client.go
+++ b/review/testdata/drive/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,7 +35,6 @@
 	port     uint16
 	flows    map[uint16]*clientFlow
 	rotation []*vm
-	only     *vm // if set, the router selects this node
 	stop     chan struct{}
 }
 
@@ -99,13 +99,21 @@
 	if len(c.rotation) == 0 {
 		return
 	}
-	to := c.only
-	if to == nil {
-		h := fnv.New32a()
-		_, _ = h.Write(append(append(p.src.ip[:], byte(p.src.port>>8), byte(p.src.port)), byte(p.dst.port>>8), byte(p.dst.port)))
-		to = c.rotation[int(h.Sum32()%uint32(len(c.rotation)))]
-	}
-	_, _ = c.conn.WriteToUDPAddrPort(p.encode(), to.at(datagramPort))
+	_, _ = c.conn.WriteToUDPAddrPort(p.encode(), c.route(p.src, p.dst).at(datagramPort))
+}
+
+// route returns the node that the router selects; hash is mod. c.mu is held.
+func (c *client) route(src, dst endpoint) *vm {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte{src.ip[2], src.ip[3], byte(src.port >> 8), byte(src.port), dst.ip[3], byte(dst.port >> 8), byte(dst.port)})
+	return c.rotation[int(h.Sum32()%uint32(len(c.rotation)))]
+}
+
+// outOfRotation reports whether the router doesn't select a node.
+func (c *client) outOfRotation(v *vm) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !slices.Contains(c.rotation, v)
 }
 
 // resets counts the resets that came with no flow, or outside the window of an open one.
@@ -155,6 +163,13 @@
 	return f
 }
 
+// router returns the node that the router selects for the flow now.
+func (f *clientFlow) router() *vm {
+	f.c.mu.Lock()
+	defer f.c.mu.Unlock()
+	return f.c.route(f.self, f.service)
+}
+
 func (f *clientFlow) close() {
 	f.c.mu.Lock()
 	defer f.c.mu.Unlock()
--- a/review/testdata/drive/fleet.go
+++ b/review/testdata/drive/fleet.go
@@ -58,6 +58,14 @@
 
 func (v *vm) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(v.ip, port) }
 
+// reachable returns the address at which the other processes reach the machine's.
+func (v *vm) reachable() netip.Addr {
+	if v.advertised.IsValid() {
+		return v.advertised
+	}
+	return v.ip
+}
+
 // fleet is a deployment on loopback addresses.
 type fleet struct {
 	folder string
@@ -66,6 +74,27 @@
 	store  *standin.Store
 	vms    []*vm
 	counts map[string]int
+	relays *network // between the machines; nil if they reach each other directly
+	flows  []*clientFlow
+}
+
+// keep records a flow that was opened and served.
+func (f *fleet) keep(flow *clientFlow, err error) {
+	if err != nil {
+		note("a first request: %v", err)
+		return
+	}
+	f.flows = append(f.flows, flow)
+}
+
+// start starts the process of a machine, with a relay in front of it if there are relays.
+func (f *fleet) start(v *vm) error {
+	if f.relays != nil {
+		if err := f.relays.add(v); err != nil {
+			return err
+		}
+	}
+	return f.run(v)
 }
 
 func newFleet() (*fleet, error) {
@@ -93,7 +122,11 @@
 	group := map[string]int{"balancer": 1, "agent": 2}[role]
 	index := f.counts[role]
 	f.counts[role]++
-	v := &vm{name: fmt.Sprintf("%s-%s-%d", map[string]string{"balancer": "front", "agent": "side"}[role], zone, index+1), role: role, zone: zone, service: service, ip: f.ip(group, index)}
+	class := map[string]string{"balancer": "front", "agent": "side"}[role]
+	v := &vm{name: fmt.Sprintf("%s-%s-%d", class, zone, index+1), role: role, zone: zone, service: service, ip: f.ip(group, index)}
+	if f.relays != nil {
+		v.advertised = f.ip(group+4, index)
+	}
 	f.vms = append(f.vms, v)
 	return v
 }
@@ -228,7 +261,10 @@
 	for _, zone := range []string{"poa-a", "poa-b", "cwb-a", "fln-a", "poa-a", "poa-b"} {
 		fronts[zone] = append(fronts[zone], f.add("balancer", zone, ""))
 	}
-	seeds := []netip.Addr{fronts["poa-a"][0].ip, fronts["poa-b"][0].ip, fronts["cwb-a"][0].ip}
+	var seeds []netip.Addr
+	for _, zone := range zones[1:] {
+		seeds = append(seeds, fronts[zone][0].reachable())
+	}
 	for _, zone := range append(zones, zones[:3]...) {
 		f.add("agent", zone, "core")
 	}
@@ -238,7 +274,7 @@
 	var targets []*target
 	for _, v := range f.vms {
 		v.seeds = seeds
-		if err := f.run(v); err != nil {
+		if err := f.start(v); err != nil {
 			return nil, nil, err
 		}
 	}
--- a/review/testdata/drive/main.go
+++ b/review/testdata/drive/main.go
@@ -16,6 +16,7 @@
 
 var cases = map[string]func(trouble bool) int{
 	"young": youngTarget,
+	"split": splitView,
 }
 
 func main() {
