Review: a paused agent's late copy makes a restarted agent deny an open flow

An agent stands still for 4 s, another one is restarted meanwhile; the copy that the first passes on hides the open flow at the second.

--- a/review/testdata/drive/main.go
+++ b/review/testdata/drive/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(trouble bool) int{
 	"young": youngTarget,
 	"split": splitView,
+	"copy":  lateCopy,
 }
 
 func main() {
