etcd kind: a watch that a silent store has lost ends within 4 s

This client had no limit on a watch at all: one that the store did not begin, or left silent for good, was waited for until TCP gave up the connection.

Now a watch that has not begun within 2 s fails, and one without a change begins anew after 2 to 4 s.

--- a/internal/transport/store/client.go
+++ b/internal/transport/store/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -19,8 +20,17 @@
 const (
 	maxResponse = 8 << 20 // bytes
 	callTimeout = 2 * time.Second
+
+	// minWatchPeriod and maxWatchPeriod bound the time after which a watch without a change
+	// ends and another one begins. The API sends nothing meanwhile, so a watch that the
+	// store has lost looks the same as one without a change.
+	minWatchPeriod = 2 * time.Second
+	maxWatchPeriod = 4 * time.Second
 )
 
+// errUnchanged reports that a watch has ended without a change.
+var errUnchanged = errors.New("no change")
+
 // Client is a coriandershift.Store. It is safe for concurrent use.
 type Client struct {
 	endpoint string
@@ -39,6 +49,11 @@
 	return func(c *Client) { c.observe = observe }
 }
 
+// WithTransport makes the Client send all calls through a transport instead of TCP.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = transport }
+}
+
 // New returns a Client of the store at an endpoint such as http://192.0.2.1:2379.
 func New(endpoint string, options ...Option) *Client {
 	c := &Client{endpoint: endpoint, http: &http.Client{}, observe: func(string, error) {}}
@@ -100,8 +115,33 @@
 // Watch waits until a key's entry is no longer that of a revision, 0 for none, and returns
 // the entry. It may be an earlier one, or ErrNotFound, if the store came back from a copy.
 func (c *Client) Watch(ctx context.Context, key string, after int64) (coriandershift.Entry, error) {
-	entry, err := c.waitForEvent(ctx, key, after)
-	c.observe(etcd.PathWatch, err)
+	for {
+		entry, err := c.watchOnce(ctx, key, after)
+		if errors.Is(err, errUnchanged) {
+			c.observe(etcd.PathWatch, nil)
+			continue
+		}
+		c.observe(etcd.PathWatch, err)
+		return entry, err
+	}
+}
+
+// watchOnce is a Watch that ends with errUnchanged after a random time between
+// minWatchPeriod and maxWatchPeriod, and fails if it has not begun within callTimeout.
+func (c *Client) watchOnce(ctx context.Context, key string, after int64) (coriandershift.Entry, error) {
+	limited, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := time.AfterFunc(callTimeout, cancel)
+	defer limit.Stop()
+
+	begun := false
+	entry, err := c.waitForEvent(limited, key, after, func() {
+		begun = true
+		limit.Reset(minWatchPeriod + rand.N(maxWatchPeriod-minWatchPeriod))
+	})
+	if err != nil && begun && limited.Err() != nil && ctx.Err() == nil {
+		return entry, errUnchanged
+	}
 	return entry, err
 }
 
@@ -185,8 +225,8 @@
 // waitForEvent reads messages of the watch until one contains events, and returns the
 // entry of its last event. A watch reports no change up to its revision, which a store
 // that came back from a copy before the watch began has yet to reach; hence the entry is
-// read once the watch has begun.
-func (c *Client) waitForEvent(ctx context.Context, key string, after int64) (coriandershift.Entry, error) {
+// read once the watch has begun. It calls onBegin after that.
+func (c *Client) waitForEvent(ctx context.Context, key string, after int64, onBegin func()) (coriandershift.Entry, error) {
 	request := etcd.WatchRequest{Create: etcd.WatchCreate{Key: []byte(key), StartRevision: after + 1}}
 	response, err := c.post(ctx, etcd.PathWatch, request)
 	if err != nil {
@@ -208,6 +248,7 @@
 			return entry, err
 		}
 	}
+	onBegin()
 
 	for {
 		var message etcd.WatchResponse
