Balancers that were cut off together reset no open flows after the cut

Cause: both sides declare each other dead and found each other by a digest to one of the dead every 8 s. Until then a balancer took the agents that it knew for all, since "converged" is set once and for good, and dead agents are waited for 5 s only.

Evidence: flowGone in the log before "member changed ... state=alive" of the flow's agent.

Fix: a probe of one dead balancer a second by each balancer, a digest at once to one that is back, and no flow is gone until 3 s after the last member that turned out to live. The return of a balancer that ran all the while is the proof that there was a cut. The same for a balancer that was cut off alone or paused, and for a side that was restarted meanwhile. Ruled out: waiting for all dead agents while their flows may live (a minute for callers of flows lost with a VM); many deaths at once as a sign of a cut (a loss of power looks the same).

--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -11,6 +11,9 @@
 // Handle processes a received message and returns the messages to be sent. The
 // ConfigSource is the zero value unless the sender has a newer configuration.
 func (n *Node) Handle(now time.Time, m Message) ([]Outgoing, ConfigSource) {
+	if exceeds(now, n.lastReceived, SuspectAfter) {
+		n.resync(now)
+	}
 	n.lastReceived = now
 
 	var source ConfigSource
@@ -104,9 +107,14 @@
 // merge merges a record into the roster and reports whether it was newer than the
 // known one. If so, the record is also queued to be pushed to other balancers.
 func (n *Node) merge(now time.Time, m roster.Member) bool {
+	known, isKnown := n.roster.Get(m.Address)
+	suspicion := n.roster.Suspicion(m.Address)
 	if !n.roster.Merge(m, now) {
 		return false
 	}
+	if !isKnown || (known.State == roster.Dead && suspicion == roster.NoSuspicion) {
+		n.observeArrival(now, m, known)
+	}
 	n.queuePush(m.Address)
 	n.updateWatch(now, m)
 	return true
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -57,10 +57,9 @@
 	// yet, for startDigestPeriod after its start; later it is pushInterval.
 	startPushInterval = 60 * time.Millisecond
 
-	pushInterval    = 200 * time.Millisecond
-	digestInterval  = 2 * time.Second
-	deadDigestEvery = 4 // every fourth digest is also sent to a balancer declared dead
-	forgetInterval  = time.Minute
+	pushInterval   = 200 * time.Millisecond
+	digestInterval = 2 * time.Second
+	forgetInterval = time.Minute
 
 	// staleHeartbeats is the number of heartbeats by which a claim of death may lag
 	// behind the sequence expected of the member before it counts as stale.
@@ -102,11 +101,13 @@
 	watched       map[netip.AddrPort]time.Time         // members that have this node as a home, since when
 	ringVersion   uint64                               // roster.BalancerVersion at which ring was built
 
-	digestCount int
-	started     time.Time // of the first heartbeat
-	synced      bool      // whether a balancer that knew all members had the same table
+	incompleteUntil time.Time        // see IncompleteUntil
+	reunited        []netip.AddrPort // balancers that are back and are to get a digest
 
-	lastTick, lastHeartbeat, lastPush, lastDigest, lastJoin, lastProbe, lastReceived, lastForget time.Time
+	started time.Time // of the first heartbeat
+	synced  bool      // whether a balancer that knew all members had the same table
+
+	lastTick, lastHeartbeat, lastPush, lastDigest, lastJoin, lastProbe, lastDeadProbe, lastReceived, lastForget time.Time
 }
 
 // New returns a Node for the process that self describes.
@@ -209,6 +210,7 @@
 func (n *Node) Tick(now time.Time) []Outgoing {
 	if now.Sub(n.lastTick) > maxTickGap {
 		n.resetTimeouts(now)
+		n.resync(now)
 	}
 	n.lastTick = now
 
@@ -222,6 +224,8 @@
 	sends = append(sends, n.push(now)...)
 	sends = append(sends, n.join(now)...)
 	sends = append(sends, n.digest(now)...)
+	sends = append(sends, n.reunite()...)
+	sends = append(sends, n.probeDead(now)...)
 	n.roster.ConfirmDeaths(now)
 	n.forgetDead(now)
 	return sends
--- a/internal/coordination/member/spread.go
+++ b/internal/coordination/member/spread.go
@@ -123,23 +123,16 @@
 	return []Outgoing{{To: active[n.random.IntN(len(active))], Message: m}}
 }
 
-// digest returns the digests that are due: one to a random balancer and, every
-// deadDigestEvery times, one to a dead balancer.
+// digest returns the digest to a random balancer if it is due.
 func (n *Node) digest(now time.Time) []Outgoing {
 	if now.Sub(n.lastDigest) < n.digestDelay(now) {
 		return nil
 	}
 	targets := n.randomPeers(1)
-	if len(targets) == 0 && len(n.roster.DeadBalancers()) == 0 {
+	if len(targets) == 0 {
 		return nil // the first one goes out as soon as a peer is known
 	}
-
 	n.lastDigest = now
-	n.digestCount++
-	if n.digestCount%deadDigestEvery == 0 {
-		targets = append(targets, n.randomDead()...)
-	}
-
 	var sends []Outgoing
 	for _, to := range targets {
 		sends = append(sends, Outgoing{To: to, Message: n.digestMessage(false)})
@@ -155,17 +148,6 @@
 	return digestInterval
 }
 
-// randomDead returns one random balancer that has been declared dead, if there are
-// any. Without it the two sides of a network partition would never contact each
-// other again.
-func (n *Node) randomDead() []netip.AddrPort {
-	dead := n.roster.DeadBalancers()
-	if len(dead) == 0 {
-		return nil
-	}
-	return []netip.AddrPort{dead[n.random.IntN(len(dead))]}
-}
-
 // randomPeers returns up to count other balancers at random. The first is from any
 // failure domain, so that changes reach other domains. The rest are from this
 // node's failure domain, where traffic is free, if it has at least count others.
--- a/internal/coordination/seek/conclude.go
+++ b/internal/coordination/seek/conclude.go
@@ -23,7 +23,8 @@
 		s.endInconclusive(now, key, r, AgentUncertain)
 	case len(dead) > 0:
 		s.endInconclusive(now, key, r, AgentDied)
-	case !s.converged, !s.fleet.KnowsServices(now):
+	case !s.knowsAllAgents(now), !s.fleet.KnowsServices(now):
+		s.awaitsAgents = true
 		s.endInconclusive(now, key, r, AgentsUnknown)
 	default:
 		delete(s.searches, key)
--- a/internal/coordination/seek/query.go
+++ b/internal/coordination/seek/query.go
@@ -17,9 +17,9 @@
 var unansweredPlaceholder flow.Endpoint
 
 // needsTicks reports whether a search or query needs further ticks.
-func (s *Seeker) needsTicks() bool {
+func (s *Seeker) needsTicks(now time.Time) bool {
 	for _, r := range s.searches {
-		if r.state != stateEnded || r.retry || !s.converged {
+		if r.state != stateEnded || r.retry || !s.knowsAllAgents(now) {
 			return true
 		}
 	}
@@ -31,6 +31,10 @@
 func (s *Seeker) advance(now time.Time) {
 	s.budget.StartRun(now)
 	s.expireDelegations(now)
+	if s.awaitsAgents && s.knowsAllAgents(now) {
+		s.awaitsAgents = false
+		s.queueEnded(now)
+	}
 	ids := slices.Sorted(maps.Keys(s.queries)) // the order decides who gets the budget
 	for _, id := range ids {
 		if q := s.queries[id]; q != nil && s.awaited(q) {
--- a/internal/coordination/seek/seek.go
+++ b/internal/coordination/seek/seek.go
@@ -94,8 +94,11 @@
 
 	observeRoundTrip func(now time.Time, d time.Duration) // may be nil
 
-	// converged says that the fleet has all agents.
-	converged bool
+	// converged says that the fleet has had all agents. Until incompleteUntil it may lack
+	// some again; awaitsAgents says that searches are to ask again after that.
+	converged       bool
+	incompleteUntil time.Time
+	awaitsAgents    bool
 
 	// noticeDelay is the average time from an opening packet to its notice.
 	noticeDelay time.Duration
@@ -169,6 +172,22 @@
 // before are queued for another query, so that their callers get an answer.
 func (s *Seeker) Converge(now time.Time) {
 	s.converged = true
+	s.queueEnded(now)
+}
+
+// SetIncompleteUntil sets until when the fleet may lack agents although it had all before.
+// No flow counts as gone until then.
+func (s *Seeker) SetIncompleteUntil(until time.Time) {
+	s.incompleteUntil = until
+}
+
+// knowsAllAgents reports whether the fleet is taken as complete.
+func (s *Seeker) knowsAllAgents(now time.Time) bool {
+	return s.converged && !now.Before(s.incompleteUntil)
+}
+
+// queueEnded queues the searches that ended without a result for another query.
+func (s *Seeker) queueEnded(now time.Time) {
 	for _, r := range s.searches {
 		if r.state == stateEnded {
 			r.enter(stateQueued, now)
@@ -199,7 +218,7 @@
 	s.lastTick = now
 	s.due = time.Time{}
 	s.advance(now)
-	s.active = s.needsTicks()
+	s.active = s.needsTicks(now)
 	return s.outcomes
 }
 
--- a/internal/coordination/steer/gone_test.go
+++ b/internal/coordination/steer/gone_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/coriandershift/coriandershift/internal/coordination/steer"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 	"github.com/coriandershift/coriandershift/internal/state/roster"
@@ -170,3 +173,27 @@
 		t.Errorf("a search took %v", longest)
 	}
 }
+
+// Guards against a balancer that was cut off with others, took the agents on its side for
+// all that there are, and reset open flows of the others (review, case 2).
+func TestNoFlowIsGoneWhileMembersMayBeMissing(t *testing.T) {
+	r := convergedRouter(agents("svc", 10)...)
+	until := start.Add(3 * time.Second)
+	r.SetIncompleteUntil(until)
+	queries := queryAfterChain(t, r, start, r.HandleCallerPacket(start, data(1))[0])
+	if diff := cmp.Diff([]steer.Reason{steer.NotFoundAgentsUnknown}, reasonsOf(reply(r, start, queries[0], fwdmsg.NotHeld))); diff != "" {
+		t.Fatal(diff)
+	}
+	if got := r.Tick(until.Add(-time.Millisecond)); len(got) != 0 {
+		t.Errorf("asks again too early: %+v", got)
+	}
+
+	again := slices.Clone(r.Tick(until))
+	if len(again) != 1 || again[0].Envelope.Kind != fwdmsg.Query {
+		t.Fatalf("the search is not repeated: %+v", again)
+	}
+	got := reply(r, until, again[0], fwdmsg.NotHeld)
+	if diff := cmp.Diff([]steer.Reason{steer.FlowGone}, reasonsOf(got)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/coordination/steer/member.go
+++ b/internal/coordination/steer/member.go
@@ -30,6 +30,12 @@
 	r.members.MarkSynced()
 }
 
+// SetIncompleteUntil sets until when the members may lack living ones although they were
+// complete before; see member.Node.IncompleteUntil.
+func (r *Router) SetIncompleteUntil(until time.Time) {
+	r.seeker.SetIncompleteUntil(until)
+}
+
 // Converged reports whether the balancer takes its list of agents as complete. Only
 // then does it reset flows that it does not find.
 func (r *Router) Converged() bool {
--- a/internal/transport/ctrl/ctrl.go
+++ b/internal/transport/ctrl/ctrl.go
@@ -49,14 +49,18 @@
 	// of FollowConfigSource accesses it.
 	storeLost bool
 
-	mu            sync.Mutex
-	node          *member.Node
-	gate          *adopt.Gate // has the configuration in force
-	era           uint64      // latest era of the store heard of
-	history       config.History
-	fetching      bool          // a fetch from a peer is running
-	changed       chan struct{} // holds up to one signal
-	rosterVersion uint64        // at the last signal for a change of members
+	mu       sync.Mutex
+	node     *member.Node
+	gate     *adopt.Gate // has the configuration in force
+	era      uint64      // latest era of the store heard of
+	history  config.History
+	fetching bool          // a fetch from a peer is running
+	changed  chan struct{} // holds up to one signal
+
+	// rosterVersion and incompleteUntil are those of node at the last signal for a change
+	// of members.
+	rosterVersion   uint64
+	incompleteUntil time.Time
 }
 
 // Options configure a Plane.
@@ -137,6 +141,14 @@
 	return p.node.Synced()
 }
 
+// IncompleteUntil returns until when the members may lack living ones although they were
+// complete before; see member.Node.IncompleteUntil.
+func (p *Plane) IncompleteUntil() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node.IncompleteUntil()
+}
+
 // MemberCount returns the number of known members, dead ones included.
 func (p *Plane) MemberCount() int {
 	p.mu.Lock()
--- a/internal/transport/ctrl/run.go
+++ b/internal/transport/ctrl/run.go
@@ -65,16 +65,17 @@
 	}
 }
 
-// signalMemberChanges signals if the members have changed since the last call.
+// signalMemberChanges signals if the members, or whether they may lack some, have changed
+// since the last call.
 func (p *Plane) signalMemberChanges() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	version := p.node.Roster().Version()
-	if version == p.rosterVersion {
+	version, until := p.node.Roster().Version(), p.node.IncompleteUntil()
+	if version == p.rosterVersion && until.Equal(p.incompleteUntil) {
 		return
 	}
-	p.rosterVersion = version
+	p.rosterVersion, p.incompleteUntil = version, until
 	p.signal()
 }
 
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -53,6 +53,8 @@
 	nextTick  time.Time // when timer fires for a due task; zero if it fires only after idleInterval
 	buffer    []byte
 
+	incompleteUntil time.Time // that the router has
+
 	lastCallerPacketAt time.Time // when the fabric last delivered a packet
 }
 
@@ -180,7 +182,7 @@
 func (b *Balancer) apply() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	cfg, changed := b.control.Config(), b.control.TakeChanged()
+	cfg, changed, incompleteUntil := b.control.Config(), b.control.TakeChanged(), b.control.IncompleteUntil()
 	for _, m := range changed {
 		b.log.Info("member changed", "member", m.Name, "address", m.Address, "state", m.State.String(),
 			"weight", m.Weight, "incarnation", m.Incarnation, "sequence", m.Sequence)
@@ -191,6 +193,11 @@
 		b.router.Configure(cfg)
 	}
 	now := time.Now()
+	if !incompleteUntil.Equal(b.incompleteUntil) {
+		b.log.Info("members may be missing", "for", incompleteUntil.Sub(now).Round(time.Millisecond))
+		b.incompleteUntil = incompleteUntil
+		b.router.SetIncompleteUntil(incompleteUntil)
+	}
 	b.router.UpdateMembers(now, changed)
 	b.perform(now, link.Data, b.router.RouteHeld(now))
 	b.metrics.Members.Set(float64(b.control.MemberCount()))
