An agent denies unknown flows only if it is older than its upstream

Cause: a first announcement with a sequence number of 3 or less counted as proof that the upstream had no earlier flows. The predecessor may have opened some after the first announcement. The agent then denied them for certain, and balancers reset them.

Evidence: "opened" at the predecessor, "agent started", then flowGone at a balancer while the upstream announces itself.

Fix: the start times decide, both by the clock of the VM that agent and upstream share, and only if that clock was not set meanwhile; otherwise packets of unknown flows are offered and the upstream's bounce is the proof. The low sequence number stays as a second condition: it limits the harm of a clock set back between the two starts.

The usual upstream of the tests was born in 1970, before its agent, and yet counted as new; it is now born after it, as the tests mean it.

--- a/internal/coordination/model/delegate_test.go
+++ b/internal/coordination/model/delegate_test.go
@@ -21,7 +21,7 @@
 		if err != nil {
 			fs.fatalf("unreadable query: %v", err)
 		}
-		fs.runAgentActions(a, a.core.HandleQuery(&e, questions))
+		fs.runAgentActions(a, a.core.HandleQuery(fs.now, &e, questions))
 	case fwdmsg.DelegatedQuery:
 		asked, err := fwdmsg.ParseDelegation(payload)
 		if err != nil {
--- a/internal/coordination/model/narrow_paths_test.go
+++ b/internal/coordination/model/narrow_paths_test.go
@@ -73,7 +73,7 @@
 			ns.runAgentActions(a, a.core.HandleBalancerPacket(ns.now, &e, &p))
 		case fwdmsg.Query:
 			if questions, err := fwdmsg.ParseQuestions(payload); err == nil {
-				ns.runAgentActions(a, a.core.HandleQuery(&e, questions))
+				ns.runAgentActions(a, a.core.HandleQuery(ns.now, &e, questions))
 			}
 		case fwdmsg.DelegatedQuery:
 			if asked, err := fwdmsg.ParseDelegation(payload); err == nil {
--- a/internal/coordination/owner/offer.go
+++ b/internal/coordination/owner/offer.go
@@ -12,10 +12,14 @@
 	offerTTL = time.Second
 
 	// maxNewSequence is the highest sequence number of an announcement at which an
-	// upstream counts as just started. It has had hardly any flows before the
-	// agent saw it, so it is offered no packets of unknown flows.
+	// upstream may count as started after the agent. It limits the harm of a time of day
+	// that was set back between the starts of the two.
 	maxNewSequence = 3
 
+	// clockTolerance is the difference between the time of day and the monotonic clock over
+	// the agent's life from which the time of day counts as having been set.
+	clockTolerance = 100 * time.Millisecond
+
 	// maxOffers is the largest number of offers that are kept at a time.
 	maxOffers = 4096
 )
--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -19,7 +19,15 @@
 	service  = flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
 )
 
-const upstreamStart = 7_000_000
+const upstreamStart = 7_000_000 // sequence number
+
+// bornAt is the start time in Unix milliseconds of the usual upstream, bornLater that of
+// its next incarnation and bornEarlier that of its previous one.
+var (
+	bornAt      = start.Add(-500 * time.Millisecond).UnixMilli()
+	bornLater   = bornAt + 400
+	bornEarlier = bornAt - 10_000
+)
 
 func endpoint(lastOctet byte) flow.Endpoint {
 	return flow.Endpoint{IP: [4]byte{10, 0, 0, lastOctet}, Port: 7000}
@@ -41,7 +49,7 @@
 }
 
 func announcement(change func(*flow.Announcement)) flow.Announcement {
-	a := flow.Announcement{ID: "i-1", StartedUnixMilli: 1000, Service: "svc", Slots: 2, State: flow.Serving, Sequence: 1}
+	a := flow.Announcement{ID: "i-1", StartedUnixMilli: bornAt, Service: "svc", Slots: 2, State: flow.Serving, Sequence: 1}
 	if change != nil {
 		change(&a)
 	}
@@ -235,10 +243,10 @@
 		"the next one":                      {func(a *flow.Announcement) { a.Sequence = 2 }, true},
 		"a late one":                        {func(a *flow.Announcement) { a.Sequence = 0 }, false},
 		"the same again":                    {nil, false},
-		"a new incarnation":                 {func(a *flow.Announcement) { a.ID, a.StartedUnixMilli = "i-2", 2000 }, true},
-		"the same ID, started anew":         {func(a *flow.Announcement) { a.StartedUnixMilli = 2000 }, true},
-		"an older incarnation, delayed":     {func(a *flow.Announcement) { a.ID, a.StartedUnixMilli, a.Sequence = "i-0", 500, 99 }, false},
-		"the same ID, an older incarnation": {func(a *flow.Announcement) { a.StartedUnixMilli, a.Sequence = 500, 99 }, false},
+		"a new incarnation":                 {func(a *flow.Announcement) { a.ID, a.StartedUnixMilli = "i-2", bornLater }, true},
+		"the same ID, started anew":         {func(a *flow.Announcement) { a.StartedUnixMilli = bornLater }, true},
+		"an older incarnation, delayed":     {func(a *flow.Announcement) { a.ID, a.StartedUnixMilli, a.Sequence = "i-0", bornEarlier, 99 }, false},
+		"the same ID, an older incarnation": {func(a *flow.Announcement) { a.StartedUnixMilli, a.Sequence = bornEarlier, 99 }, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -261,7 +269,7 @@
 func TestANewIncarnationEndsTheFlowsOfTheOld(t *testing.T) {
 	o := newServingOwner()
 	open(t, o, start, 1)
-	_, got := o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.StartedUnixMilli = 2000 }))
+	_, got := o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.StartedUnixMilli = bornLater }))
 	if kind, reason := firstAction(got); kind != owner.Reset || reason != owner.UpstreamGone {
 		t.Errorf("got %+v", got)
 	}
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -40,7 +40,7 @@
 			return
 		}
 	}
-	e.Uncertain = e.Uncertain || !o.knowsAllFlows()
+	e.Uncertain = e.Uncertain || !o.knowsAllFlows(now)
 	o.forwardOrReturn(key, e, p.Raw, NotHeld)
 }
 
--- a/internal/coordination/owner/query.go
+++ b/internal/coordination/owner/query.go
@@ -1,17 +1,19 @@
 package owner
 
 import (
+	"time"
+
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
 // HandleQuery answers a Query with one HeldStatus byte for each question. The actions
 // are valid until the next call.
-func (o *Owner) HandleQuery(e *fwdmsg.Envelope, questions []fwdmsg.Question) []Action {
+func (o *Owner) HandleQuery(now time.Time, e *fwdmsg.Envelope, questions []fwdmsg.Question) []Action {
 	o.actions = o.actions[:0]
 	statuses := make([]byte, len(questions))
 	for i, q := range questions {
-		statuses[i] = byte(o.heldStatus(&q))
+		statuses[i] = byte(o.heldStatus(now, &q))
 	}
 	o.actions = append(o.actions, Action{
 		Kind:     Notify,
@@ -22,19 +24,19 @@
 	return o.actions
 }
 
-func (o *Owner) heldStatus(q *fwdmsg.Question) fwdmsg.HeldStatus {
+func (o *Owner) heldStatus(now time.Time, q *fwdmsg.Question) fwdmsg.HeldStatus {
 	known := o.flows[q.Key]
 	switch {
 	case known != nil && known.matches(&flow.Packet{Ack: true, Acknowledged: q.Acknowledged}):
 		return fwdmsg.Held
-	case known == nil && !o.knowsAllFlows():
+	case known == nil && !o.knowsAllFlows(now):
 		return fwdmsg.Uncertain
 	}
 	return fwdmsg.NotHeld
 }
 
 // knowsAllFlows reports whether a flow that is not in the table is certain not to be
-// open at the upstream.
-func (o *Owner) knowsAllFlows() bool {
-	return o.NoFlows() || (o.upstream != nil && !o.mayHoldEarlierFlows)
+// open at the upstream. Flows from before the agent's start have ended after offerPeriod.
+func (o *Owner) knowsAllFlows(now time.Time) bool {
+	return o.NoFlows() || (o.upstream != nil && (!o.mayHoldEarlierFlows || now.Sub(o.startedAt) >= offerPeriod))
 }
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -21,7 +21,7 @@
 	}
 	newIncarnation := o.upstream == nil || !o.upstream.SameIncarnation(&a)
 	if newIncarnation {
-		o.mayHoldEarlierFlows = o.departed == nil && o.upstream == nil && a.Sequence > maxNewSequence
+		o.mayHoldEarlierFlows = o.departed == nil && o.upstream == nil && !o.startedBefore(now, &a)
 		o.ramp.fill(now)
 		o.failedOpenings = 0
 	}
@@ -37,6 +37,25 @@
 	return true, o.actions
 }
 
+// startedBefore reports whether this agent certainly started before an upstream, so that it
+// has seen all flows of it. A low sequence number alone does not prove that: an agent that
+// is restarted beside a young upstream has had a predecessor there.
+func (o *Owner) startedBefore(now time.Time, a *flow.Announcement) bool {
+	start, known := o.startOf(now, a)
+	return known && !start.Before(o.startedAt.Truncate(time.Millisecond)) && a.Sequence <= maxNewSequence
+}
+
+// startOf returns when an upstream started. It reports false if that is not known: the
+// upstream does not tell, or the time of day was set since.
+func (o *Owner) startOf(now time.Time, a *flow.Announcement) (time.Time, bool) {
+	age := time.Duration(now.UnixMilli()-a.StartedUnixMilli) * time.Millisecond
+	adjusted := now.Round(0).Sub(o.startedAt.Round(0)) - now.Sub(o.startedAt)
+	if a.StartedUnixMilli == 0 || age < 0 || adjusted.Abs() > clockTolerance {
+		return time.Time{}, false
+	}
+	return now.Add(-age), true
+}
+
 // isNewer reports whether an announcement is newer than all before: a late one may
 // still arrive after the upstream's departure or its next incarnation.
 func (o *Owner) isNewer(a *flow.Announcement) bool {
--- a/internal/transport/fwagt/fwagt.go
+++ b/internal/transport/fwagt/fwagt.go
@@ -243,7 +243,7 @@
 			a.metrics.DroppedDatagrams.WithLabelValues("malformed").Inc()
 			return
 		}
-		a.perform(now, a.owner.HandleQuery(&envelope, questions))
+		a.perform(now, a.owner.HandleQuery(now, &envelope, questions))
 	case fwdmsg.DelegatedQuery:
 		a.startDelegation(now, &envelope, payload)
 	case fwdmsg.QueryReply:
