Late copies of opening packets hide no open flow from a restarted agent

Cause: on resuming, the paused agent passed on the opening packets that had waited in its socket (reason resuming). The restarted agent does not know the flow and opens it anew. It then denies the flow for certain, since the caller has acknowledged more than the new entry knows of.

Fix: only where a packet waited is its age known. Agents and balancers that were paused for 2 s drop opening packets for 0.3 s, and a balancer forgets those that it kept. Callers and balancers repeat what is still wanted. As a second line, a restarted agent treats a flow that began there as possibly older: its reply is "uncertain" and the caller's packet is offered to the upstream, whose bounce is the proof. Balancers are the related path: they placed packets of any age after a pause.

--- a/internal/coordination/owner/admission.go
+++ b/internal/coordination/owner/admission.go
@@ -167,7 +167,7 @@
 
 // openWaiting opens waiting flows while the upstream has fewer than maxRequests.
 func (o *Owner) openWaiting(now time.Time) {
-	if o.resuming(now) {
+	if o.pause.Resuming(now) {
 		return
 	}
 	for o.backlog.Len() > 0 && o.load() < o.maxRequests() {
--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -22,9 +22,12 @@
 	answered      bool
 
 	// open says that the caller completed the handshake with this upstream;
-	// predatesAgent that the flow was open before the agent started.
+	// predatesAgent that the flow was open before the agent started. mayPredate says that
+	// it may have been: the opening packet that began it here can be a late copy, so the
+	// upstream may have sent more than upstreamSent.
 	open          bool
 	predatesAgent bool
+	mayPredate    bool
 
 	// callerAck is the last acknowledgement of the caller, upstreamAck that of the upstream.
 	callerAck   uint32
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -36,6 +36,10 @@
 		o.handleFull(now, key, e, p)
 	case Unconfigured:
 		o.enqueue(now, key, e, p)
+	case Resuming:
+		// The packet may have waited here for seconds while others opened the flow. Callers and
+		// balancers repeat one that is still wanted.
+		o.actions = append(o.actions, Action{Kind: Drop, Reason: reason, Key: key, Load: o.load()})
 	default:
 		o.forwardOrRefuse(now, key, e, p.Raw, reason)
 	}
@@ -48,7 +52,8 @@
 	}
 	known := &entry{
 		openedAt: now, lastPacketAt: now, callerStart: sequence, packet: slices.Clone(packet), envelope: *e,
-		stream: stream{start: sequence + 1, next: sequence + 1, end: sequence + 1, known: true},
+		mayPredate: !o.knowsAllFlows(now),
+		stream:     stream{start: sequence + 1, next: sequence + 1, end: sequence + 1, known: true},
 	}
 	o.addFlow(key, known)
 	o.handshakes[key] = known
@@ -62,7 +67,7 @@
 	if reason := o.checkEligible(key, e); reason != "" {
 		return reason
 	}
-	if o.resuming(now) {
+	if o.pause.Resuming(now) {
 		return Resuming
 	}
 	if len(o.flows) >= maxFlows || (o.limits.Connections > 0 && o.connections >= o.limits.Connections) {
@@ -146,7 +151,7 @@
 // its opening packet rather than be reset.
 func (o *Owner) callerShouldRetry(now time.Time, reason Reason) bool {
 	switch reason {
-	case NoUpstream, NoAnswer, UpstreamSilent, WrongService, RouteDropped, Resuming:
+	case NoUpstream, NoAnswer, UpstreamSilent, WrongService, RouteDropped:
 		return true
 	case Overloaded:
 		return false
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/pause"
 	"github.com/coriandershift/coriandershift/internal/state/queue"
 )
 
@@ -101,7 +102,7 @@
 
 	lastSweep   time.Time
 	lastTick    time.Time
-	resumedAt   time.Time // when the last pause of the process ended
+	pause       pause.Detector
 	actions     []Action
 	completions []Completion
 }
--- a/internal/coordination/owner/query.go
+++ b/internal/coordination/owner/query.go
@@ -29,7 +29,7 @@
 	switch {
 	case known != nil && known.matches(&flow.Packet{Ack: true, Acknowledged: q.Acknowledged}):
 		return fwdmsg.Held
-	case known == nil && !o.knowsAllFlows(now):
+	case (known == nil || known.mayPredate) && !o.knowsAllFlows(now):
 		return fwdmsg.Uncertain
 	}
 	return fwdmsg.NotHeld
--- a/internal/coordination/owner/restart_test.go
+++ b/internal/coordination/owner/restart_test.go
@@ -72,3 +72,79 @@
 		t.Error(diff)
 	}
 }
+
+// newRestartedOwner returns an Owner that started beside an upstream which may hold flows.
+func newRestartedOwner() *owner.Owner {
+	o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+	o.Configure(start, newConfig(1, nil))
+	o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.Sequence = 40 }))
+	return o
+}
+
+// laterData returns a request on a flow whose upstream has sent 5,000 bytes.
+func laterData(port uint16) *flow.Packet {
+	p := requestData(port)
+	p.Acknowledged, p.Sequence = upstreamStart+5001, 3001
+	return p
+}
+
+// Guards against an agent that was restarted, took a late copy of an opening packet for a
+// new flow, and denied the flow that had long been open (review, case 4).
+func TestALateCopyDoesNotHideAFlowFromARestartedAgent(t *testing.T) {
+	question := []fwdmsg.Question{{Key: requestData(1).KeyFromCaller(), Acknowledged: upstreamStart + 5001}}
+	status := func(o *owner.Owner) fwdmsg.HeldStatus {
+		return fwdmsg.HeldStatus(o.HandleQuery(start, &fwdmsg.Envelope{Kind: fwdmsg.Query, Balancer: balancer}, question)[0].Packet[0])
+	}
+	laterAnswer := fromUpstream(1, func(p *flow.Packet) { p.Ack, p.Sequence, p.DataLength = true, upstreamStart+5001, 200 })
+	tests := map[string]func(*owner.Owner){
+		"a late copy": func(o *owner.Owner) {
+			o.HandleBalancerPacket(start, envelope(), opening(1))
+			o.HandleUpstreamPacket(start, openingAnswer(1))
+		},
+		"a late copy, its handshake has timed out": func(o *owner.Owner) {
+			o.HandleBalancerPacket(start, envelope(), opening(1))
+			o.HandleUpstreamPacket(start, openingAnswer(1))
+			o.Tick(start.Add(time.Second))
+		},
+		"a late copy that is not answered yet": func(o *owner.Owner) {
+			o.HandleBalancerPacket(start, envelope(), opening(1))
+		},
+		"a late copy after the upstream has shown the flow": func(o *owner.Owner) {
+			o.HandleUpstreamPacket(start, responseData(1))
+			o.HandleBalancerPacket(start, envelope(), opening(1))
+			o.HandleUpstreamPacket(start, openingAnswer(1))
+		},
+		"no copy": func(*owner.Owner) {},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newRestartedOwner()
+			prepare(o)
+			if got := status(o); got != fwdmsg.Uncertain {
+				t.Errorf("before the upstream is asked: got status %v", got)
+			}
+			got := o.HandleBalancerPacket(start, envelope(), laterData(1))
+			if kind, reason := firstAction(got); kind != owner.Deliver || reason != owner.Offered || got[0].Tag == 0 {
+				t.Fatalf("the packet is not offered: %+v", got)
+			}
+			if actions := kinds(o.HandleUpstreamPacket(start, laterAnswer)); !cmp.Equal(actions, []owner.ActionKind{owner.Notify, owner.Answer}) {
+				t.Errorf("the upstream's answer: got %v", actions)
+			}
+			if got := status(o); got != fwdmsg.Held {
+				t.Errorf("after the upstream has shown the flow: got status %v", got)
+			}
+			if kind, reason := firstAction(o.HandleBalancerPacket(start, envelope(), laterData(1))); kind != owner.Deliver || reason != "" {
+				t.Errorf("the next packet: got %v for %q", kind, reason)
+			}
+		})
+		t.Run(name+", not held", func(t *testing.T) {
+			o := newRestartedOwner()
+			prepare(o)
+			tag := o.HandleBalancerPacket(start, envelope(), laterData(1))[0].Tag
+			got := o.HandleUpstreamPacket(start, bounce(laterData(1), tag))
+			if len(got) != 1 || got[0].Kind != owner.Forward || got[0].Envelope.Kind != fwdmsg.ReturnedPacket || got[0].Envelope.Uncertain {
+				t.Errorf("the upstream does not hold it: got %+v", got)
+			}
+		})
+	}
+}
--- a/internal/coordination/owner/tick.go
+++ b/internal/coordination/owner/tick.go
@@ -30,7 +30,7 @@
 // flows. The actions are valid until the next call.
 func (o *Owner) Tick(now time.Time) []Action {
 	o.actions = o.actions[:0]
-	o.detectPause(now)
+	o.pause.Tick(now)
 	o.lastTick = now
 	var unanswered []flow.Key
 	for key, e := range o.handshakes {
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -79,5 +79,6 @@
 	LinkBusyAgain Reason = "linkBusyAgain" // copy of the opening packet of a flow that was refused with LinkBusy
 	LinkLate      Reason = "linkLate"      // new flow; the link cannot carry it in time, and another balancer may have placed it
 
+	Resuming  Reason = "resuming"  // opening packet that may have waited while this process was paused
 	Malformed Reason = "malformed" // the packet could not be parsed
 )
--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -15,7 +15,11 @@
 	r.actions = r.actions[:0]
 	r.use.countIn(now, budget.DatagramHeaders+len(p.Raw))
 	key := p.KeyFromCaller()
-	if r.canPlaceFlows() || !r.hold(now, key, p) {
+	r.dropLateOpenings(now)
+	switch {
+	case p.IsOpening() && r.pause.Resuming(now):
+		r.actions = append(r.actions, Action{Kind: Drop, Reason: Resuming, Key: key})
+	case r.canPlaceFlows() || !r.hold(now, key, p):
 		r.routeCallerPacket(now, key, p)
 	}
 	r.placeWaiting(now)
--- a/internal/coordination/steer/intake.go
+++ b/internal/coordination/steer/intake.go
@@ -59,6 +59,11 @@
 		held := r.waitingOpens[key]
 		delete(r.waitingOpens, key)
 		age := held.markCopy(now)
+		if age >= callerOpenTimeout {
+			r.intake.Forget(key)
+			r.actions = append(r.actions, Action{Kind: Drop, Reason: Resuming, Key: key})
+			continue
+		}
 		route := r.routes[key.Service]
 		if route == nil {
 			r.intake.Forget(key)
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -19,6 +19,7 @@
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
+	"github.com/coriandershift/coriandershift/internal/state/pause"
 )
 
 const (
@@ -134,6 +135,7 @@
 	noticeDelay time.Duration // moving average of the time from an opening packet to its notice
 
 	lastTick   time.Time
+	pause      pause.Detector
 	lateTickAt time.Time // the latest tick that came late for an opening packet
 
 	lastSweep time.Time
--- /dev/null
+++ b/internal/state/pause/pause.go
@@ -0,0 +1,43 @@
+// Package pause detects that a process was paused: packets that waited in its sockets are
+// then of unknown age, and it has yet to learn what changed meanwhile.
+package pause
+
+import "time"
+
+const (
+	// threshold is the time without a tick from which the process counts as paused. Ticks
+	// come at least once a second.
+	threshold = 2 * time.Second
+
+	// resumePeriod is the time after a pause in which the process counts as resuming. It
+	// reads meanwhile what waited in its sockets.
+	resumePeriod = 300 * time.Millisecond
+)
+
+// Detector detects pauses of a process from the times of its ticks. The zero value is ready
+// for use. It is not safe for concurrent use.
+type Detector struct {
+	lastTick  time.Time
+	resumedAt time.Time // when the last pause ended
+}
+
+// Tick records a tick.
+func (d *Detector) Tick(now time.Time) {
+	d.Resumed(now)
+	d.lastTick = now
+}
+
+// Resumed reports whether a pause is found to have ended by this call. The time of day counts
+// as well, since the monotonic clock stops while a VM is suspended.
+func (d *Detector) Resumed(now time.Time) bool {
+	if d.lastTick.IsZero() || (now.Sub(d.lastTick) <= threshold && now.Round(0).Sub(d.lastTick.Round(0)) <= threshold) {
+		return false
+	}
+	d.lastTick, d.resumedAt = now, now
+	return true
+}
+
+// Resuming reports whether the process was paused until a moment ago.
+func (d *Detector) Resuming(now time.Time) bool {
+	return now.Sub(d.resumedAt) < resumePeriod
+}
