Copies of opening packets are delivered only until the flow is open

Cause: an agent delivered every copy of the opening packet of a flow that it knew, whatever its age: here one that a paused agent had passed on 4.5 s late.

Fix: copies are delivered until the handshake is complete, and for 1.4 s at most, after which callers end the attempt. TestACopyOfAnOpeningPacketIsDeliveredOnlyDuringTheHandshake failed before for an open flow and for one whose caller had given up.

--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -8,13 +8,19 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
+// attemptPeriod is the time after which a caller ends an attempt whose flow has not opened.
+const attemptPeriod = 1400 * time.Millisecond
+
 // handleOpening opens, queues, forwards or refuses a new flow. A copy of an opening
-// packet is delivered again if its flow is at the upstream, and only confirmed to the
-// balancer if its flow waits.
+// packet is delivered again while the caller may wait for the upstream's answer, and only
+// confirmed to the balancer if its flow waits or is open. Copies can be seconds late: from
+// the sockets of processes that were paused, or from full links.
 func (o *Owner) handleOpening(now time.Time, key flow.Key, e *fwdmsg.Envelope, p *flow.Packet) {
 	if known := o.flows[key]; known != nil {
 		if known.callerStart == p.Sequence && !known.closed() {
-			o.deliver(key, p.Raw, 0, "")
+			if !known.open && now.Sub(known.openedAt) < attemptPeriod {
+				o.deliver(key, p.Raw, 0, "")
+			}
 			o.notifyBalancer(now, key, e, false)
 			return
 		}
--- a/internal/coordination/owner/restart_test.go
+++ b/internal/coordination/owner/restart_test.go
@@ -148,3 +148,38 @@
 		})
 	}
 }
+
+// Guards against copies that a paused agent passed on seconds late and that were delivered
+// to an upstream which had announced meanwhile that it drains (TestSoak, seed 9101).
+func TestACopyOfAnOpeningPacketIsDeliveredOnlyDuringTheHandshake(t *testing.T) {
+	drain := func(o *owner.Owner) {
+		o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.State, a.Sequence = flow.Draining, 2 }))
+	}
+	tests := map[string]struct {
+		prepare func(*owner.Owner)
+		after   time.Duration
+		want    []owner.ActionKind
+	}{
+		"unanswered": {func(*owner.Owner) {}, 30 * time.Millisecond, []owner.ActionKind{owner.Deliver, owner.Notify}},
+		"answered":   {func(o *owner.Owner) { o.HandleUpstreamPacket(start, openingAnswer(1)) }, 600 * time.Millisecond, []owner.ActionKind{owner.Deliver, owner.Notify}},
+		"answered, the caller has given up": {func(o *owner.Owner) {
+			o.HandleUpstreamPacket(start, openingAnswer(1))
+			drain(o)
+		}, 4 * time.Second, []owner.ActionKind{owner.Notify}},
+		"open, the upstream drains": {func(o *owner.Owner) {
+			o.HandleUpstreamPacket(start, openingAnswer(1))
+			o.HandleBalancerPacket(start, envelope(), requestData(1))
+			drain(o)
+		}, 4 * time.Second, []owner.ActionKind{owner.Notify}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newServingOwner()
+			o.HandleBalancerPacket(start, envelope(), opening(1))
+			test.prepare(o)
+			if diff := cmp.Diff(test.want, kinds(o.HandleBalancerPacket(start.Add(test.after), envelope(), opening(1)))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
