A peer that never had a failure domain out does not bring it back

Cause: two drills of the store in a row. Only a process that had just started had the evacuation of the first era in force. The others adopted the second copy at once, since it has the domains out that they had, and the process took it from them: hasSettled let what a peer has in force pass without the check of the failure domains.

Fix: the check holds for peers too; a process whose domains differ waits until 2 s after it heard of the era. Offer needs no origin any more.

--- a/internal/coordination/adopt/adopt.go
+++ b/internal/coordination/adopt/adopt.go
@@ -27,15 +27,6 @@
 	Adopt                  // it is in force from now on
 )
 
-// Origin says where a configuration comes from.
-type Origin uint8
-
-// The origins.
-const (
-	FromStore Origin = iota // it is the store's at this moment
-	FromPeer                // a peer has it in force that was not Unsettled
-)
-
 // Gate holds the configuration in force. It is not safe for concurrent use.
 type Gate struct {
 	inForce        *config.Config
@@ -73,8 +64,9 @@
 	}
 }
 
-// Offer decides on a configuration. The Gate keeps cfg.
-func (g *Gate) Offer(now time.Time, cfg *config.Config, origin Origin) Decision {
+// Offer decides on a configuration that the store has at this moment, or that a peer has in
+// force which was not Unsettled. The Gate keeps cfg.
+func (g *Gate) Offer(now time.Time, cfg *config.Config) Decision {
 	g.ObserveEra(now, revno.Revision(cfg.Revision).Era())
 	switch {
 	case g.inForce.Revision == 0:
@@ -85,7 +77,7 @@
 			g.unsettledUntil = now.Add(SettleTime)
 		}
 	case g.isOfLaterEra(cfg):
-		if !g.hasSettled(now, cfg, origin) {
+		if !g.hasSettled(now, cfg) {
 			return Hold
 		}
 	case !cfg.NewerThan(g.inForce):
@@ -100,13 +92,14 @@
 }
 
 // hasSettled reports whether a configuration of a later era has all that the one in
-// force has: at least the operators' version and, unless SettleTime has passed here or
-// at the peer, the same failure domains out.
-func (g *Gate) hasSettled(now time.Time, cfg *config.Config, origin Origin) bool {
+// force has: at least the operators' version and, unless SettleTime has passed, the same
+// failure domains out. That a peer has it in force is no proof: the peer may not have had a
+// domain out that is out here.
+func (g *Gate) hasSettled(now time.Time, cfg *config.Config) bool {
 	if cfg.Operators < g.inForce.Operators {
 		return false
 	}
-	return origin == FromPeer || now.Sub(g.eraSince) >= SettleTime || slices.Equal(outDomains(cfg), outDomains(g.inForce))
+	return now.Sub(g.eraSince) >= SettleTime || slices.Equal(outDomains(cfg), outDomains(g.inForce))
 }
 
 func outDomains(cfg *config.Config) []string {
--- a/internal/transport/ctrl/adopt.go
+++ b/internal/transport/ctrl/adopt.go
@@ -30,17 +30,17 @@
 // Adopt puts a configuration in force if it is newer than the present one, and reports
 // whether it did. source is only logged.
 func (p *Plane) Adopt(cfg *config.Config, source string) bool {
-	return p.offer(cfg, adopt.FromStore, source) == adopt.Adopt
+	return p.offer(cfg, source) == adopt.Adopt
 }
 
 // offer puts a configuration in force if it is newer than the present one. One from a
 // store that came back from an older copy may be held back; see package adopt.
-func (p *Plane) offer(cfg *config.Config, origin adopt.Origin, source string) adopt.Decision {
+func (p *Plane) offer(cfg *config.Config, source string) adopt.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	previous := p.gate.InForce()
-	decision := p.gate.Offer(time.Now(), cfg, origin)
+	decision := p.gate.Offer(time.Now(), cfg)
 	switch decision {
 	case adopt.Hold:
 		p.metrics.HeldConfigs.Inc()
@@ -94,7 +94,7 @@
 		if err != nil {
 			p.log.Warn("cannot fetch configuration", "peer", source.Admin, "error", err)
 		} else {
-			p.offer(cfg, adopt.FromPeer, "peer")
+			p.offer(cfg, "peer")
 		}
 
 		p.mu.Lock()
--- a/internal/transport/ctrl/source.go
+++ b/internal/transport/ctrl/source.go
@@ -134,7 +134,7 @@
 		}
 	}
 	p.logStoreState(nil)
-	decision := p.offer(cfg, adopt.FromStore, "store")
+	decision := p.offer(cfg, "store")
 
 	after := cfg.Revision
 	for ctx.Err() == nil {
@@ -145,7 +145,7 @@
 		if err != nil {
 			return err
 		}
-		decision = p.offer(next, adopt.FromStore, "store")
+		decision = p.offer(next, "store")
 		if decision == adopt.Adopt {
 			sleep(ctx, burstDelay)
 		}
