Agents that start with their upstream are certain about its flows

After a power loss upstreams start 1 to 2 ms before their agents, so all agents were uncertain, and each packet of a lost flow was offered to all of them: 486,228 times.

"upstream announced" reports the sequence now.

Fix: an upstream that is at most 20 ms older than the agent counts as younger: an announcement, a handshake with a caller and the restart of an agent take longer, so that no predecessor has opened a flow there.

--- a/internal/coordination/owner/restart_test.go
+++ b/internal/coordination/owner/restart_test.go
@@ -31,6 +31,8 @@
 		"the agent is older":                          {time.Minute, ago(500 * time.Millisecond), 1, fwdmsg.NotHeld},
 		"the agent is older, announcements were lost": {time.Minute, ago(2 * time.Second), 3, fwdmsg.NotHeld},
 		"both started in the same millisecond":        {time.Second, ago(time.Second), 2, fwdmsg.NotHeld},
+		"both started with their VM":                  {time.Second, ago(time.Second + 5*time.Millisecond), 2, fwdmsg.NotHeld},
+		"the agent is a little younger":               {time.Second, ago(time.Second + 30*time.Millisecond), 2, fwdmsg.Uncertain},
 		"the agent is younger, second announcement":   {300 * time.Millisecond, ago(900 * time.Millisecond), 2, fwdmsg.Uncertain},
 		"the agent is younger, first announcement":    {300 * time.Millisecond, ago(900 * time.Millisecond), 1, fwdmsg.Uncertain},
 		"the agent is younger, many announcements":    {300 * time.Millisecond, ago(time.Minute), 80, fwdmsg.Uncertain},
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -37,12 +37,12 @@
 	return true, o.actions
 }
 
-// startedBefore reports whether this agent certainly started before an upstream, so that it
-// has seen all flows of it. A low sequence number alone does not prove that: an agent that
-// is restarted beside a young upstream has had a predecessor there.
+// startedBefore reports whether this agent certainly started before an upstream could have
+// flows, so that it has seen all of them. A low sequence number alone does not prove that:
+// an agent that is restarted beside a young upstream has had a predecessor there.
 func (o *Owner) startedBefore(now time.Time, a *flow.Announcement) bool {
 	start, known := o.startOf(now, a)
-	return known && !start.Before(o.startedAt.Truncate(time.Millisecond)) && a.Sequence <= maxNewSequence
+	return known && start.Add(minFlowlessPeriod).After(o.startedAt) && a.Sequence <= maxNewSequence
 }
 
 // startOf returns when an upstream started. It reports false if that is not known: the
--- a/internal/transport/fwagt/fwagt.go
+++ b/internal/transport/fwagt/fwagt.go
@@ -142,7 +142,7 @@
 	warmUpStarted := previous != nil && previous.WarmUpLeft == 0 && announcement.WarmUpLeft > 0
 	if warmUpStarted || previous == nil || !previous.SameIncarnation(&announcement) || previous.State != announcement.State {
 		a.log.Info("upstream announced", "upstream", announcement.ID, "born", announcement.StartedUnixMilli, "state", int(announcement.State),
-			"slots", announcement.Slots, "coldFor", announcement.WarmUpLeft, "version", announcement.Version)
+			"sequence", announcement.Sequence, "slots", announcement.Slots, "coldFor", announcement.WarmUpLeft, "version", announcement.Version)
 	}
 	a.updateWeight()
 }
