--- a/internal/transport/ctrl/source.go
+++ b/internal/transport/ctrl/source.go
@@ -72,7 +72,9 @@
 		}
 		if err != nil {
 			p.logStoreState(err)
-			sleep(ctx, delay)
+			if !errors.Is(err, context.DeadlineExceeded) { // a timeout was delay enough
+				sleep(ctx, delay)
+			}
 			delay = min(2*delay, maxSourceRetryDelay)
 		}
 	}
