A first announcement spares the flows that its upstream has got already

Cause: the announcement of a new incarnation reset all flows of the agent. Flows that were opened between the incarnation's start and its first announcement are its own: the agent still took it for its predecessor and delivered their opening packets.

Fix: only flows that were opened before the start of the new incarnation are reset, or before the last announcement of the old one if the start is not known.

--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -8,7 +8,8 @@
 
 // HandleAnnouncement handles an announcement of the upstream and reports whether it is
 // newer than the last one; an older one has no effect. A new incarnation resets the
-// flows of an earlier one that did not announce its departure. Waiting flows of an
+// flows of an earlier one that did not announce its departure, but not those that it has
+// got itself before its first announcement. Waiting flows of an
 // upstream that drains are forwarded or refused. The actions are valid until the next call.
 func (o *Owner) HandleAnnouncement(now time.Time, a flow.Announcement) (bool, []Action) {
 	o.actions = o.actions[:0]
@@ -17,7 +18,7 @@
 	}
 
 	if o.upstream != nil && !o.upstream.SameIncarnation(&a) {
-		o.resetAllFlows(UpstreamGone)
+		o.resetFlowsBefore(o.firstFlowOf(now, &a))
 	}
 	newIncarnation := o.upstream == nil || !o.upstream.SameIncarnation(&a)
 	if newIncarnation {
@@ -80,6 +81,25 @@
 	}
 }
 
+// firstFlowOf returns the earliest time at which an upstream can have got a flow: its
+// start, or the last announcement of its predecessor if the start is not known.
+func (o *Owner) firstFlowOf(now time.Time, a *flow.Announcement) time.Time {
+	if start, known := o.startOf(now, a); known {
+		return start
+	}
+	return o.lastAnnouncementAt
+}
+
+// resetFlowsBefore removes the flows that were opened before a time, at an upstream that is
+// gone, and resets the callers of those that are open here.
+func (o *Owner) resetFlowsBefore(at time.Time) {
+	for key, e := range o.flows {
+		if e.openedAt.Before(at) {
+			o.resetFlow(key, e, UpstreamGone)
+		}
+	}
+}
+
 // HandleUpstreamGone is called when nothing listens at the upstream's address any more.
 // It resets the open flows. The actions are valid until the next call.
 func (o *Owner) HandleUpstreamGone() []Action {
@@ -94,11 +114,15 @@
 // The others may be open at another upstream.
 func (o *Owner) resetAllFlows(reason Reason) {
 	for key, e := range o.flows {
-		open := e.open && !e.closed()
-		o.removeFlow(key, e)
-		if open {
-			o.resetCaller(key, e.callerAck, reason)
-		}
+		o.resetFlow(key, e, reason)
+	}
+}
+
+func (o *Owner) resetFlow(key flow.Key, e *entry, reason Reason) {
+	open := e.open && !e.closed()
+	o.removeFlow(key, e)
+	if open {
+		o.resetCaller(key, e.callerAck, reason)
 	}
 }
 
