A late departure of an earlier incarnation ends no upstream

Callers would see: an upstream that started again under its ID beside a paused agent is taken for departed. Its announcements are ignored for good, its flows denied for certain.

Cause: the message names the ID only. On resuming, an agent handles it and the announcements of the next incarnation in any order.

Fix: without an announced drain before it, a departure is doubtful. The agent opens no flows, probes the address, denies no flows, and takes an announcement with a higher number more than 1.5 s later as proof that the upstream lives; announcements on their way wait for 1 s at most. TestALateDepartureIsRevoked failed before.

--- a/internal/coordination/model/model_test.go
+++ b/internal/coordination/model/model_test.go
@@ -285,7 +285,7 @@
 		a.upstream = nil
 		a.faultAt = fs.now
 		if !a.down {
-			a.core.HandleDeparture(u.id)
+			a.core.HandleDeparture(fs.now, u.id)
 		}
 		fs.schedule(300*time.Millisecond, func() {
 			if a.upstream == nil {
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -73,6 +73,8 @@
 	limits             config.Limits
 	upstream           *flow.Announcement
 	departed           *flow.Announcement // the last announcement of an incarnation that announced its departure
+	departedAt         time.Time          // when departed did so
+	departureDoubtful  bool               // departed may live on
 	notListening       bool               // nothing listens at the upstream's address
 	lastAnnouncementAt time.Time
 	coldUntil          time.Time // when the upstream's warm-up ends
@@ -159,7 +161,7 @@
 	o.actions = o.actions[:0]
 	o.stopping = true
 	o.forwardWaiting(now, AgentStopping)
-	if o.upstream == nil && o.departed != nil {
+	if o.NoFlows() {
 		o.resetAllFlows(UpstreamGone)
 	}
 	return o.actions
--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -172,7 +172,7 @@
 		"the upstream drains": {func(o *owner.Owner) {
 			o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.State, a.Sequence = flow.Draining, 2 }))
 		}, nil, owner.UpstreamDraining},
-		"the upstream has departed": {func(o *owner.Owner) { o.HandleDeparture("i-1") }, nil, owner.NoUpstream},
+		"the upstream has departed": {func(o *owner.Owner) { o.HandleDeparture(start, "i-1") }, nil, owner.NoUpstream},
 		"the failure domain is out": {func(o *owner.Owner) {
 			o.Configure(start, newConfig(2, func(c *config.Config) { c.Domains = []config.Domain{{Name: "a", Number: 1, Out: true}} }))
 		}, nil, owner.DomainOut},
@@ -261,7 +261,7 @@
 
 func TestADelayedAnnouncementIsIgnoredAfterTheDeparture(t *testing.T) {
 	o := newServingOwner()
-	o.HandleDeparture("i-1")
+	o.HandleDeparture(start, "i-1")
 	if newer, _ := o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.Sequence = 2 })); newer || o.Accepting() {
 		t.Error("an upstream that has departed is used again")
 	}
@@ -303,6 +303,47 @@
 	}
 }
 
+// Guards against a late message by which an earlier incarnation of an ID announced its end:
+// it was taken for that of the present one, whose announcements were ignored from then on
+// and whose flows were denied.
+func TestALateDepartureIsRevoked(t *testing.T) {
+	next := func(sequence uint64, state flow.UpstreamState) flow.Announcement {
+		return announcement(func(a *flow.Announcement) { a.Sequence, a.State = sequence, state })
+	}
+	tests := map[string]struct {
+		draining bool // before the departure
+		after    time.Duration
+		revoked  bool
+	}{
+		"it serves on":                        {false, 2 * time.Second, true},
+		"an announcement that was on its way": {false, 500 * time.Millisecond, false},
+		"it had announced that it drains":     {true, 2 * time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newServingOwner()
+			open(t, o, start, 1)
+			if test.draining {
+				o.HandleAnnouncement(start, next(2, flow.Draining))
+			}
+			o.HandleDeparture(start, "i-1")
+			if got := o.NoFlows(); got != test.draining {
+				t.Errorf("after the departure: certain to hold no flows: %v, want %v", got, test.draining)
+			}
+			if got := o.UpstreamSuspected(start); got == test.draining {
+				t.Errorf("after the departure: to be probed: %v", got)
+			}
+			accepted, _ := o.HandleAnnouncement(start.Add(test.after), next(3, flow.Serving))
+			if accepted != test.revoked || o.Accepting() != test.revoked {
+				t.Errorf("announcement accepted: %v, new flows: %v, want %v", accepted, o.Accepting(), test.revoked)
+			}
+			if kind, _ := firstAction(o.HandleBalancerPacket(start.Add(test.after), envelope(), requestData(1))); kind != owner.Deliver {
+				t.Errorf("a packet of the open flow: got %v", kind)
+			}
+		})
+	}
+}
+
 // Copies of an opening packet may reach two upstreams; the caller goes on with one of them.
 func TestPacketsOfAFlowThatIsOpenElsewhereArePassedOn(t *testing.T) {
 	o := newServingOwner()
@@ -372,8 +413,9 @@
 		"its upstream started after it":    {func(o *owner.Owner) { o.HandleAnnouncement(start, announcement(nil)) }, false},
 		"its upstream has departed": {func(o *owner.Owner) {
 			o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.State = flow.Draining }))
-			o.HandleDeparture("i-1")
+			o.HandleDeparture(start, "i-1")
 		}, false},
+		"it may have departed": {func(o *owner.Owner) { o.HandleAnnouncement(start, announcement(nil)); o.HandleDeparture(start, "i-1") }, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -13,6 +13,9 @@
 // upstream that drains are forwarded or refused. The actions are valid until the next call.
 func (o *Owner) HandleAnnouncement(now time.Time, a flow.Announcement) (bool, []Action) {
 	o.actions = o.actions[:0]
+	if o.revokesDeparture(now, &a) {
+		o.upstream, o.departed = o.departed, nil
+	}
 	if !o.isNewer(&a) {
 		return false, nil
 	}
@@ -73,14 +76,27 @@
 }
 
 // HandleDeparture handles the message by which the upstream with the given ID announces
-// that it ends.
-func (o *Owner) HandleDeparture(id string) {
+// that it ends. The message may be late and stem from an earlier incarnation of that ID, so
+// an upstream that has not announced before that it drains may live on.
+func (o *Owner) HandleDeparture(now time.Time, id string) {
 	if o.upstream != nil && o.upstream.ID == id {
-		o.departed = o.upstream
+		o.departed, o.departedAt = o.upstream, now
+		o.departureDoubtful = o.upstream.State == flow.Serving
 		o.upstream = nil
 	}
 }
 
+// lateCallPeriod is the time after an upstream's departure in which its earlier
+// announcements may still arrive. They wait for an answer for a second.
+const lateCallPeriod = 1500 * time.Millisecond
+
+// revokesDeparture reports whether an announcement shows that the upstream which has
+// departed lives on.
+func (o *Owner) revokesDeparture(now time.Time, a *flow.Announcement) bool {
+	return o.upstream == nil && o.departed != nil && o.departureDoubtful &&
+		o.departed.SameIncarnation(a) && a.Sequence > o.departed.Sequence && now.Sub(o.departedAt) > lateCallPeriod
+}
+
 // firstFlowOf returns the earliest time at which an upstream can have got a flow: its
 // start, or the last announcement of its predecessor if the start is not known.
 func (o *Owner) firstFlowOf(now time.Time, a *flow.Announcement) time.Time {
@@ -137,17 +153,23 @@
 }
 
 // UpstreamSuspected reports whether the upstream may have ended without announcing its
-// departure: it is silent, or has not announced itself since the agent's start.
+// departure: it is silent, or has not announced itself since the agent's start. It also
+// reports true while a departure is doubtful.
 func (o *Owner) UpstreamSuspected(now time.Time) bool {
-	if o.upstream == nil {
-		return !o.notListening && o.departed == nil && now.Sub(o.startedAt) > firstAnnouncementTimeout
+	switch {
+	case o.upstream != nil:
+		return o.failedOpenings >= silentThreshold
+	case o.notListening:
+		return false
+	case o.departed != nil:
+		return o.departureDoubtful
 	}
-	return o.failedOpenings >= silentThreshold
+	return now.Sub(o.startedAt) > firstAnnouncementTimeout
 }
 
 // NoFlows reports whether the upstream is certain to have ended, and its flows with it.
 func (o *Owner) NoFlows() bool {
-	return o.upstream == nil && (o.departed != nil || o.notListening)
+	return o.upstream == nil && (o.notListening || (o.departed != nil && !o.departureDoubtful))
 }
 
 // Upstream returns the upstream's last announcement, or nil.
--- a/internal/transport/fwagt/fwagt.go
+++ b/internal/transport/fwagt/fwagt.go
@@ -153,7 +153,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.log.Info("upstream departed", "upstream", id)
-	a.owner.HandleDeparture(id)
+	a.owner.HandleDeparture(time.Now(), id)
 	a.updateWeight()
 }
 
