The ramp of a cold upstream counts as full after an agent's restart in any order

Cause: an agent that has just started fills its window up to the limit. If the first announcement comes before the configuration, the limit is not known and the window stays empty.

Fix: the window counts as full until a time instead. TestTheRampIsFullAfterARestartWithoutAConfiguration failed before.

--- a/internal/coordination/owner/ramp.go
+++ b/internal/coordination/owner/ramp.go
@@ -15,6 +15,7 @@
 type ramp struct {
 	perWindow int         // 0 is no limit
 	admitted  []time.Time // the flows admitted in the window, oldest first
+	fullUntil time.Time   // the window counts as full until then
 }
 
 // setLimit sets the limit in flows per second; 0 is none. A limit below 1 counts as 1.
@@ -25,13 +26,11 @@
 	}
 }
 
-// fill counts the window as full. An agent that has just started does not know how
-// many flows were admitted before.
+// fill counts the window as full, also if the limit is not known yet. An agent that has just
+// started does not know how many flows were admitted before.
 func (r *ramp) fill(now time.Time) {
 	r.admitted = r.admitted[:0]
-	for range r.perWindow {
-		r.admitted = append(r.admitted, now)
-	}
+	r.fullUntil = now.Add(rampWindow + rampMargin)
 }
 
 // admit reports whether one more flow is within the limit, and counts it if so.
@@ -42,7 +41,7 @@
 	for len(r.admitted) > 0 && now.Sub(r.admitted[0]) > rampWindow+rampMargin {
 		r.admitted = r.admitted[1:]
 	}
-	if len(r.admitted) >= r.perWindow {
+	if !now.After(r.fullUntil) || len(r.admitted) >= r.perWindow {
 		return false
 	}
 	r.admitted = append(r.admitted, now)
--- a/internal/coordination/owner/restart_test.go
+++ b/internal/coordination/owner/restart_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/coriandershift/coriandershift/internal/coordination/owner"
 	"github.com/coriandershift/coriandershift/internal/protocol/fwdmsg"
+	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
@@ -185,3 +186,19 @@
 		})
 	}
 }
+
+// Guards against an agent that is restarted beside a cold upstream and admits a whole
+// window of flows at once, since it heard of the upstream before it had the limit (TestModel,
+// seed 52).
+func TestTheRampIsFullAfterARestartWithoutAConfiguration(t *testing.T) {
+	o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+	o.HandleAnnouncement(start, announcement(func(a *flow.Announcement) { a.Sequence, a.WarmUpLeft = 3, 10*time.Second }))
+	configured := start.Add(300 * time.Millisecond)
+	o.Configure(configured, newConfig(1, func(c *config.Config) { c.Services[0].Limits.ColdPerSecond = 1 }))
+	if _, reason := firstAction(o.HandleBalancerPacket(configured, envelope(endpoint(11)), opening(1))); reason != owner.ColdLimit {
+		t.Errorf("within a second of the start: got %q", reason)
+	}
+	if kind, _ := firstAction(o.HandleBalancerPacket(start.Add(1200*time.Millisecond), envelope(endpoint(11)), opening(2))); kind != owner.Deliver {
+		t.Errorf("after that: got %v", kind)
+	}
+}
