Pauses of a second are noticed; the model learns pauses and young upstreams

A pause of under 2 s went unnoticed, since the decisions see ticks only once a second.

Unit tests of the decisions record the running process themselves.

--- a/internal/coordination/model/model_test.go
+++ b/internal/coordination/model/model_test.go
@@ -28,7 +28,7 @@
 
 func (fs *faultSim) deliverToAgent(to flow.Endpoint, e fwdmsg.Envelope, packet []byte) {
 	for _, a := range fs.agents {
-		if a.endpoint != to || a.down {
+		if a.endpoint != to || a.down || a.pause.keeps(func() { fs.deliverToAgent(to, e, packet) }) {
 			continue
 		}
 		if e.Kind != fwdmsg.CallerPacket {
@@ -80,7 +80,7 @@
 
 func (fs *faultSim) deliverToBalancer(to flow.Endpoint, e fwdmsg.Envelope, payload []byte) {
 	for _, b := range fs.balancers {
-		if b.endpoint == to && !b.down {
+		if b.endpoint == to && !b.down && !b.pause.keeps(func() { fs.deliverToBalancer(to, e, payload) }) {
 			fs.runBalancerActions(b, b.core.HandleAgentMessage(fs.now, &e, payload, unpack))
 		}
 	}
@@ -124,7 +124,9 @@
 		bounce.Bounced = true
 		fs.sendFromUpstream(a, u, bounce)
 	default:
-		f.open = true
+		if !f.open {
+			f.open, f.openedAt = true, fs.now
+		}
 		if p.DataLength > 0 {
 			answer := flow.Packet{Source: key.Service, Destination: key.Caller, Ack: true, Sequence: f.sequence + 1, DataLength: 9}
 			fs.schedule(time.Duration(5+fs.random.IntN(30))*time.Millisecond, func() { fs.sendFromUpstream(a, u, answer) })
@@ -133,6 +135,12 @@
 }
 
 func (fs *faultSim) acceptOpening(a *agent, u *upstream, key flow.Key, f *upstreamFlow, p *flow.Packet) {
+	if f != nil && f.open {
+		if fs.now.Sub(f.openedAt) > time.Second {
+			fs.fatalf("agent %v delivered the opening packet of a flow that has been open for %v", a.endpoint, fs.now.Sub(f.openedAt))
+		}
+		f = nil
+	}
 	if f == nil {
 		f = &upstreamFlow{sequence: fs.random.Uint32()}
 		u.flows[key] = f
@@ -153,7 +161,7 @@
 }
 
 func (fs *faultSim) sendFromUpstream(a *agent, u *upstream, p flow.Packet) {
-	if a.down || a.upstream != u {
+	if a.down || a.upstream != u || a.pause.keeps(func() { fs.sendFromUpstream(a, u, p) }) {
 		return
 	}
 	p, _ = unpack(pack(p))
@@ -183,13 +191,15 @@
 	p.Source, p.Destination = c.key.Caller, c.key.Service
 	raw := pack(p)
 	b := fs.balancers[fs.random.IntN(len(fs.balancers))]
-	fs.transmit(func() {
-		if b.down {
-			return
-		}
-		p, _ := unpack(append([]byte(nil), raw...))
-		fs.runBalancerActions(b, b.core.HandleCallerPacket(fs.now, &p))
-	})
+	fs.transmit(func() { fs.deliverFromCaller(b, raw) })
+}
+
+func (fs *faultSim) deliverFromCaller(b *balancer, raw []byte) {
+	if b.down || b.pause.keeps(func() { fs.deliverFromCaller(b, raw) }) {
+		return
+	}
+	p, _ := unpack(append([]byte(nil), raw...))
+	fs.runBalancerActions(b, b.core.HandleCallerPacket(fs.now, &p))
 }
 
 func (fs *faultSim) deliverToCaller(a *agent, p flow.Packet) {
@@ -243,13 +253,11 @@
 func (fs *faultSim) injectFault() {
 	a := fs.agents[fs.random.IntN(len(fs.agents))]
 	b := fs.balancers[fs.random.IntN(len(fs.balancers))]
-	switch fs.random.IntN(8) {
+	switch fs.random.IntN(11) {
 	case 0: // a balancer restarts
 		fs.startBalancer(b)
 	case 1: // an agent restarts while its upstream stays
-		a.down = true
-		a.member.Incarnation++
-		fs.schedule(time.Duration(fs.random.IntN(800))*time.Millisecond, func() { fs.startAgent(a) })
+		fs.restartAgent(a)
 	case 2: // an upstream restarts
 		a.upstream = nil
 		a.faultAt = fs.now
@@ -269,6 +277,12 @@
 		for _, b := range fs.balancers {
 			fs.startBalancer(b)
 		}
+	case 8:
+		fs.pauseAgent(a)
+	case 9:
+		fs.pauseBalancer(b)
+	case 10:
+		fs.restartBesideYoungUpstream(a)
 	}
 }
 
--- a/internal/coordination/model/world_test.go
+++ b/internal/coordination/model/world_test.go
@@ -88,6 +88,7 @@
 	cfg      *config.Config
 	down     bool
 	started  time.Time
+	pause    pausable
 }
 
 type agent struct {
@@ -99,6 +100,7 @@
 	upstream *upstream
 
 	collector *fanout.Collector
+	pause     pausable
 
 	// faultAt is when the agent last started or its upstream last ended.
 	faultAt time.Time
@@ -117,6 +119,7 @@
 type upstreamFlow struct {
 	sequence uint32 // initial sequence number of the upstream's side
 	open     bool
+	openedAt time.Time
 }
 
 // callerFlow is a flow as its caller sees it.
@@ -206,6 +209,7 @@
 	b.core = steer.New(b.endpoint, "a", fs.now, steer.WithLinkRate(fs.linkRate))
 	b.cfg = &config.Config{}
 	b.down = false
+	b.pause = pausable{}
 	b.started = fs.now
 	fs.schedule(time.Duration(fs.random.IntN(300))*time.Millisecond, func() { fs.configureBalancer(b, fs.cfg) })
 	fs.schedule(500*time.Millisecond, func() {
@@ -239,7 +243,7 @@
 }
 
 func (fs *faultSim) configureBalancer(b *balancer, cfg *config.Config) {
-	if cfg.Revision <= b.cfg.Revision {
+	if cfg.Revision <= b.cfg.Revision || b.pause.keeps(func() { fs.configureBalancer(b, cfg) }) {
 		return
 	}
 	b.cfg = cfg
@@ -251,7 +255,10 @@
 	if b.core != core {
 		return
 	}
-	fs.runBalancerActions(b, core.Tick(fs.now))
+	if !b.pause.paused {
+		core.RecordRunning(fs.now)
+		fs.runBalancerActions(b, core.Tick(fs.now))
+	}
 	fs.schedule(20*time.Millisecond, func() { fs.tickBalancer(b, core) })
 }
 
@@ -260,13 +267,14 @@
 	a.collector = fanout.New(a.endpoint, fs.now)
 	a.cfg = &config.Config{}
 	a.down = false
+	a.pause = pausable{}
 	a.faultAt = fs.now
 	fs.schedule(time.Duration(fs.random.IntN(300))*time.Millisecond, func() { fs.configureAgent(a, fs.cfg) })
 	fs.tickAgent(a, a.core)
 }
 
 func (fs *faultSim) configureAgent(a *agent, cfg *config.Config) {
-	if a.down || cfg.Revision <= a.cfg.Revision {
+	if a.down || cfg.Revision <= a.cfg.Revision || a.pause.keeps(func() { fs.configureAgent(a, cfg) }) {
 		return
 	}
 	a.cfg = cfg
@@ -277,6 +285,11 @@
 	if a.core != core || a.down {
 		return
 	}
+	if a.pause.paused {
+		fs.schedule(20*time.Millisecond, func() { fs.tickAgent(a, core) })
+		return
+	}
+	core.RecordRunning(fs.now)
 	fs.runAgentActions(a, core.Tick(fs.now))
 	fs.sendForBalancer(a, a.collector.Tick(fs.now))
 	fs.spreadMember(a)
@@ -321,7 +334,7 @@
 	}
 	fs.schedule(300*time.Millisecond, func() { fs.announce(a, u) })
 	u.sequence++
-	if a.down {
+	if a.down || a.pause.paused {
 		return
 	}
 	state := flow.Serving
--- a/internal/coordination/owner/pause_test.go
+++ b/internal/coordination/owner/pause_test.go
@@ -15,7 +15,7 @@
 // agent that was restarted took it for a new flow and hid the open one (review, case 4).
 func TestNoFlowIsOpenedJustAfterAPause(t *testing.T) {
 	o := newServingOwner()
-	o.Tick(start)
+	o.RecordRunning(start)
 	if kind, _ := firstAction(o.HandleBalancerPacket(start.Add(time.Second), envelope(), opening(1))); kind != owner.Deliver {
 		t.Fatalf("without a pause: got %v", kind)
 	}
@@ -30,7 +30,7 @@
 		t.Errorf("right after a pause, with another agent: got %v for %q", kind, reason)
 	}
 
-	o.Tick(resumed.Add(time.Millisecond))
+	o.RecordRunning(resumed.Add(time.Millisecond))
 	o.HandleAnnouncement(resumed.Add(2*time.Millisecond), announcement(func(a *flow.Announcement) { a.Sequence = 2 }))
 	later := resumed.Add(400 * time.Millisecond)
 	if kind, _ := firstAction(o.HandleBalancerPacket(later, envelope(), opening(4))); kind != owner.Deliver {
@@ -45,7 +45,7 @@
 func TestWaitingFlowsStayClosedJustAfterAPause(t *testing.T) {
 	o := newFullOwner(t)
 	o.HandleBalancerPacket(start, envelope(), opening(9))
-	o.Tick(start)
+	o.RecordRunning(start)
 	resumed := start.Add(10 * time.Second)
 	for port := uint16(1); port <= 3; port++ {
 		for _, a := range o.HandleUpstreamPacket(resumed, responseData(port)) {
--- a/internal/coordination/owner/tick.go
+++ b/internal/coordination/owner/tick.go
@@ -25,12 +25,18 @@
 	return due, !due.IsZero()
 }
 
+// RecordRunning records that the process was not paused at a time. It is to be called every
+// 100 ms or more often.
+func (o *Owner) RecordRunning(now time.Time) {
+	o.pause.Tick(now)
+}
+
 // Tick forwards opening packets that the upstream left unanswered, resets callers
 // whose flows waited too long, removes old flows from the table, and opens waiting
 // flows. The actions are valid until the next call.
 func (o *Owner) Tick(now time.Time) []Action {
 	o.actions = o.actions[:0]
-	o.pause.Tick(now)
+	o.pause.Resumed(now)
 	o.lastTick = now
 	var unanswered []flow.Key
 	for key, e := range o.handshakes {
--- a/internal/coordination/steer/late.go
+++ b/internal/coordination/steer/late.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// RecordRunning records that the process was not paused at a time. It is to be called every
+// 100 ms or more often.
+func (r *Router) RecordRunning(now time.Time) {
+	r.dropLateOpenings(now)
+	r.pause.Tick(now)
+}
+
 // dropLateOpenings forgets the opening packets that are kept here if this process was paused
 // until now. Their callers have given up, or have opened the flow through another balancer.
 func (r *Router) dropLateOpenings(now time.Time) {
--- a/internal/coordination/steer/late_test.go
+++ b/internal/coordination/steer/late_test.go
@@ -18,7 +18,7 @@
 	resumed := start.Add(pause)
 	newPausedRouter := func(before ...*flow.Packet) *steer.Router {
 		r := convergedRouter(agents("svc", 10, 11)...)
-		r.Tick(start)
+		r.RecordRunning(start)
 		for _, p := range before {
 			r.HandleCallerPacket(start, p)
 		}
@@ -38,12 +38,12 @@
 		}, nil},
 		"a tick comes first": {func() []steer.Action {
 			r := newPausedRouter()
-			r.Tick(resumed)
+			r.RecordRunning(resumed)
 			return r.HandleCallerPacket(resumed.Add(time.Millisecond), opening(1))
 		}, []steer.Reason{steer.Resuming}},
 		"it came a moment later": {func() []steer.Action {
 			r := newPausedRouter()
-			r.Tick(resumed)
+			r.RecordRunning(resumed)
 			return r.HandleCallerPacket(resumed.Add(400*time.Millisecond), opening(1))
 		}, []steer.Reason{steer.Placed}},
 	}
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -46,7 +46,6 @@
 func (r *Router) Tick(now time.Time) []Action {
 	r.actions = r.actions[:0]
 	r.dropLateOpenings(now)
-	r.pause.Tick(now)
 	delay := r.tickDelay(now)
 	if r.isTickOverdue(now) {
 		r.lateTickAt = now
--- a/internal/state/pause/pause.go
+++ b/internal/state/pause/pause.go
@@ -6,8 +6,8 @@
 
 const (
 	// threshold is the time without a tick from which the process counts as paused. Ticks
-	// come at least once a second.
-	threshold = 2 * time.Second
+	// come every 100 ms (member.TickInterval).
+	threshold = time.Second
 
 	// resumePeriod is the time after a pause in which the process counts as resuming. It
 	// reads meanwhile what waited in its sockets.
--- a/internal/transport/ctrl/ctrl.go
+++ b/internal/transport/ctrl/ctrl.go
@@ -42,8 +42,9 @@
 	codec   *gossip.Codec
 	conn    *net.UDPConn
 
-	// observeDatagram is set by ObserveDatagrams.
+	// observeDatagram is set by ObserveDatagrams, observeTick by ObserveTicks.
 	observeDatagram func(sent bool, length int)
+	observeTick     func(now time.Time)
 
 	// storeLost says that the last call of the ConfigSource failed. Only the goroutine
 	// of FollowConfigSource accesses it.
@@ -101,6 +102,7 @@
 		changed: make(chan struct{}, 1),
 
 		observeDatagram: func(bool, int) {},
+		observeTick:     func(time.Time) {},
 	}
 	p.node.SetSeeds(o.Seeds)
 	return p, nil
--- a/internal/transport/ctrl/run.go
+++ b/internal/transport/ctrl/run.go
@@ -29,6 +29,12 @@
 	}
 }
 
+// ObserveTicks has observe called every member.TickInterval or more often, so that a pause
+// of the process can be told. It must be called before Run.
+func (p *Plane) ObserveTicks(observe func(now time.Time)) {
+	p.observeTick = observe
+}
+
 // Run runs the periodic tasks of the membership protocol until the context ends.
 func (p *Plane) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -39,6 +45,7 @@
 // tick runs the tasks that are due and returns the time until the next call.
 func (p *Plane) tick() time.Duration {
 	now := time.Now()
+	p.observeTick(now)
 	p.mu.Lock()
 	p.observeEra()
 	sends := p.node.Tick(now)
--- a/internal/transport/fwagt/fwagt.go
+++ b/internal/transport/fwagt/fwagt.go
@@ -88,7 +88,7 @@
 	monitor := usage.New(o.LinkRate, o.Log, o.Metrics)
 	o.Control.ObserveDatagrams(monitor.CountMembership)
 	settings := owner.Settings{Self: flow.EndpointOf(self.Address), Domain: self.Domain, Service: o.Service}
-	return &Agent{
+	a := &Agent{
 		log:          o.Log,
 		metrics:      o.Metrics,
 		control:      o.Control,
@@ -102,7 +102,16 @@
 		owner:        owner.New(settings, time.Now()),
 		collector:    fanout.New(settings.Self, time.Now()),
 		buffer:       make([]byte, 0, ctrl.MaxDatagram),
-	}, nil
+	}
+	o.Control.ObserveTicks(a.recordRunning)
+	return a, nil
+}
+
+// recordRunning records that the process was not paused at a time.
+func (a *Agent) recordRunning(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.owner.RecordRunning(now)
 }
 
 // Run forwards packets until the context ends or reading from a socket fails. In the
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -84,7 +84,7 @@
 	self := o.Control.Self()
 	monitor := usage.New(o.LinkRate, o.Log, o.Metrics)
 	o.Control.ObserveDatagrams(monitor.CountMembership)
-	return &Balancer{
+	b := &Balancer{
 		log:        o.Log,
 		metrics:    o.Metrics,
 		control:    o.Control,
@@ -95,7 +95,16 @@
 		router: steer.New(flow.EndpointOf(self.Address), self.Domain, time.Now(),
 			steer.WithLinkRate(o.LinkRate), steer.WithRoundTripObserver(monitor.ObserveRoundTrip)),
 		buffer: make([]byte, 0, ctrl.MaxDatagram),
-	}, nil
+	}
+	o.Control.ObserveTicks(b.recordRunning)
+	return b, nil
+}
+
+// recordRunning records that the process was not paused at a time.
+func (b *Balancer) recordRunning(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.router.RecordRunning(now)
 }
 
 // Run forwards packets until the context ends or reading from a socket fails. In the
