A balancer takes only the monotonic clock for a sign of a pause

A time of day that jumps forward counted as a pause of the balancer, which then dropped opening packets for 0.3 s. While a VM is suspended no packets wait in its sockets, so the monotonic clock is enough there; agents, which may act on outdated permissions, keep both.

--- a/internal/coordination/member/reunion.go
+++ b/internal/coordination/member/reunion.go
@@ -93,8 +93,3 @@
 	probe.makePartial()
 	return []Outgoing{{To: dead[n.random.IntN(len(dead))], Message: probe}}
 }
-
-// exceeds reports whether more than limit has passed since a time that is not zero.
-func exceeds(now, since time.Time, limit time.Duration) bool {
-	return !since.IsZero() && now.Sub(since) > limit
-}
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -159,6 +159,7 @@
 		flows:        map[flow.Key]*flowEntry{},
 		pendingOpens: map[flow.Key]*pendingOpen{},
 		waitingOpens: map[flow.Key]heldPacket{},
+		pause:        pause.Detector{MonotonicOnly: true},
 	}
 	for _, apply := range options {
 		apply(r)
