An agent that first hears of a very young upstream is certain about its flows

Cause: after a power loss all agents were uncertain again. "agent started" comes 32 to 39 ms after born on a VM whose processor time counts, and 1 to 2 ms without that, so the tolerance of 20 ms between the two starts held only there.

Fix: the age of the upstream when the agent first hears of it decides. Upstreams wait for longer than 150 ms after an announcement that was handled, so an upstream that is younger was heard by no earlier process of the agent, and flows come only after that. This holds at any speed of the start and needs no assumption about restarts.

--- a/internal/coordination/owner/offer.go
+++ b/internal/coordination/owner/offer.go
@@ -16,10 +16,10 @@
 	// that was set back between the starts of the two.
 	maxNewSequence = 3
 
-	// minFlowlessPeriod is the time after its start in which an upstream has no flows that an
-	// agent could have opened before it was restarted: an announcement, a handshake with a
-	// caller and the restart take longer. Agent and upstream start together with their VM.
-	minFlowlessPeriod = 20 * time.Millisecond
+	// minAnnouncementInterval is less than the time from an announcement that an agent has
+	// handled to the next one. An upstream that is younger when an agent first hears of it has
+	// been heard by no earlier process of the agent, and so has no flows.
+	minAnnouncementInterval = 150 * time.Millisecond
 
 	// clockTolerance is the difference between the time of day and the monotonic clock over
 	// the agent's life from which the time of day counts as having been set.
--- a/internal/coordination/owner/restart_test.go
+++ b/internal/coordination/owner/restart_test.go
@@ -29,17 +29,18 @@
 		sequence uint64
 		want     fwdmsg.HeldStatus
 	}{
-		"the agent is older":                          {time.Minute, ago(500 * time.Millisecond), 1, fwdmsg.NotHeld},
-		"the agent is older, announcements were lost": {time.Minute, ago(2 * time.Second), 3, fwdmsg.NotHeld},
-		"both started in the same millisecond":        {time.Second, ago(time.Second), 2, fwdmsg.NotHeld},
-		"both started with their VM":                  {time.Second, ago(time.Second + 5*time.Millisecond), 2, fwdmsg.NotHeld},
-		"the agent is a little younger":               {time.Second, ago(time.Second + 30*time.Millisecond), 2, fwdmsg.Uncertain},
-		"the agent is younger, second announcement":   {300 * time.Millisecond, ago(900 * time.Millisecond), 2, fwdmsg.Uncertain},
-		"the agent is younger, first announcement":    {300 * time.Millisecond, ago(900 * time.Millisecond), 1, fwdmsg.Uncertain},
-		"the agent is younger, many announcements":    {300 * time.Millisecond, ago(time.Minute), 80, fwdmsg.Uncertain},
-		"the upstream does not tell":                  {30 * time.Second, 0, 1, fwdmsg.Uncertain},
-		"the time was set back since":                 {300 * time.Millisecond, ago(-40 * time.Minute), 2, fwdmsg.Uncertain},
-		"the time was set back, the upstream is old":  {300 * time.Millisecond, ago(200 * time.Millisecond), 4, fwdmsg.Uncertain},
+		"the agent is older":                           {time.Minute, ago(500 * time.Millisecond), 1, fwdmsg.NotHeld},
+		"the agent is older, announcements were lost":  {time.Minute, ago(2 * time.Second), 3, fwdmsg.NotHeld},
+		"both started in the same millisecond":         {time.Second, ago(time.Second), 2, fwdmsg.NotHeld},
+		"both started with their VM, a moment ago":     {10 * time.Millisecond, ago(50 * time.Millisecond), 3, fwdmsg.NotHeld},
+		"both started with their VM, the agent slowly": {10 * time.Millisecond, ago(160 * time.Millisecond), 3, fwdmsg.Uncertain},
+		"the agent is a little younger":                {time.Second, ago(time.Second + 30*time.Millisecond), 2, fwdmsg.Uncertain},
+		"the agent is younger, second announcement":    {300 * time.Millisecond, ago(900 * time.Millisecond), 2, fwdmsg.Uncertain},
+		"the agent is younger, first announcement":     {300 * time.Millisecond, ago(900 * time.Millisecond), 1, fwdmsg.Uncertain},
+		"the agent is younger, many announcements":     {300 * time.Millisecond, ago(time.Minute), 80, fwdmsg.Uncertain},
+		"the upstream does not tell":                   {30 * time.Second, 0, 1, fwdmsg.Uncertain},
+		"the time was set back since":                  {300 * time.Millisecond, ago(-40 * time.Minute), 2, fwdmsg.Uncertain},
+		"the time was set back, the upstream is old":   {300 * time.Millisecond, ago(200 * time.Millisecond), 4, fwdmsg.Uncertain},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -25,7 +25,7 @@
 	}
 	newIncarnation := o.upstream == nil || !o.upstream.SameIncarnation(&a)
 	if newIncarnation {
-		o.mayHoldEarlierFlows = o.departed == nil && o.upstream == nil && !o.startedBefore(now, &a)
+		o.mayHoldEarlierFlows = o.departed == nil && o.upstream == nil && !o.knowsFromStart(now, &a)
 		o.ramp.fill(now)
 		o.failedOpenings = 0
 	}
@@ -41,12 +41,13 @@
 	return true, o.actions
 }
 
-// startedBefore reports whether this agent certainly started before an upstream could have
-// flows, so that it has seen all of them. A low sequence number alone does not prove that:
-// an agent that is restarted beside a young upstream has had a predecessor there.
-func (o *Owner) startedBefore(now time.Time, a *flow.Announcement) bool {
+// knowsFromStart reports whether this agent has certainly seen all flows of an upstream of
+// which it first hears now: it is older than the upstream, or no earlier process can have
+// handled an announcement. A low sequence number alone does not prove that.
+func (o *Owner) knowsFromStart(now time.Time, a *flow.Announcement) bool {
 	start, known := o.startOf(now, a)
-	return known && start.Add(minFlowlessPeriod).After(o.startedAt) && a.Sequence <= maxNewSequence
+	isOlder := !start.Before(o.startedAt.Truncate(time.Millisecond))
+	return known && a.Sequence <= maxNewSequence && (isOlder || now.Sub(start) < minAnnouncementInterval)
 }
 
 // startOf returns when an upstream started. It reports false if that is not known: the
