--- a/review/_drive2/client.go
+++ b/review/_drive2/client.go
@@ -144,7 +144,6 @@
 	seq, ack uint32
 	opened   time.Time
 	lastAck  uint32
-	resets   []time.Time // accepted resets on the open flow
 }
 
 // newFlow returns a flow to a route from a new port.
--- a/review/_drive2/storm.go
+++ b/review/_drive2/storm.go
@@ -11,7 +11,6 @@
 	mu                            sync.Mutex
 	opened, refused, requests, ok int
 	resets                        []string // on open flows whose target lives and sent none
-	foreign                       int
 }
 
 // judgeReset records a reset of an open flow, if its target holds the flow and sent no reset.
--- a/review/_drive2/target.go
+++ b/review/_drive2/target.go
@@ -34,19 +34,18 @@
 	client http.Client
 	stop   context.CancelFunc
 
-	mu       sync.Mutex
-	state    string
-	seq      uint64
-	flows    map[key]*served
-	runs     map[string]int
-	running  int
-	waiting  []func()
-	opened   []time.Time // when opening packets of new flows came
-	altered  int         // packets that were not as their sender wrote them
-	resets   map[key]bool
-	acked    int // heartbeats
-	drainAck time.Time
-	ended    bool
+	mu      sync.Mutex
+	state   string
+	seq     uint64
+	flows   map[key]*served
+	runs    map[string]int
+	running int
+	waiting []func()
+	opened  []time.Time // when opening packets of new flows came
+	altered int         // packets that were not as their sender wrote them
+	resets  map[key]bool
+	acked   int // heartbeats
+	ended   bool
 }
 
 // served is the target's end of a flow.
@@ -104,20 +103,6 @@
 	t.record.log("target %s on %s crashes", t.id, t.vm.name)
 }
 
-// drain makes the target say that it leaves. It returns when that is acknowledged.
-func (t *target) drain() {
-	t.mu.Lock()
-	t.state = "draining"
-	t.mu.Unlock()
-	for t.sendBeat() != nil {
-		time.Sleep(50 * time.Millisecond)
-	}
-	t.mu.Lock()
-	t.drainAck = time.Now()
-	t.mu.Unlock()
-	t.record.log("target %s on %s: draining is acknowledged", t.id, t.vm.name)
-}
-
 // body returns the body of the next heartbeat.
 func (t *target) body() map[string]any {
 	t.mu.Lock()
@@ -290,21 +275,4 @@
 	return t.resets[k]
 }
 
-// busiestSecond returns the most opening packets within any second that starts with one.
-func busiestSecond(times []time.Time) (int, time.Time) {
-	most, at := 0, time.Time{}
-	for i := range times {
-		n := 0
-		for _, other := range times[i:] {
-			if other.Sub(times[i]) < time.Second {
-				n++
-			}
-		}
-		if n > most {
-			most, at = n, times[i]
-		}
-	}
-	return most, at
-}
-
 func newID() string { return fmt.Sprintf("i-%08x", rand.Uint32()) }
