--- a/internal/coordination/owner/entry.go
+++ b/internal/coordination/owner/entry.go
@@ -29,6 +29,11 @@
 	predatesAgent bool
 	mayPredate    bool
 
+	// revision is that of the latest configuration under which the flow was opened, by its
+	// balancer or this agent; 0 if it was opened before the agent started, or may have been.
+	// The configuration with that revision has the flow's route.
+	revision uint64
+
 	// callerAck is the last acknowledgement of the caller, upstreamAck that of the upstream.
 	callerAck   uint32
 	upstreamAck uint32
--- a/internal/coordination/owner/opening.go
+++ b/internal/coordination/owner/opening.go
@@ -61,6 +61,9 @@
 		mayPredate: !o.knowsAllFlows(now),
 		stream:     stream{start: sequence + 1, next: sequence + 1, end: sequence + 1, known: true},
 	}
+	if !known.mayPredate {
+		known.revision = max(e.Revision, o.cfg.Revision)
+	}
 	o.addFlow(key, known)
 	o.handshakes[key] = known
 	o.countOpening(key, known)
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -69,7 +69,8 @@
 
 	cfg                *config.Config
 	routes             map[flow.Endpoint]*config.Route
-	domainOut          bool // the agent's failure domain is out
+	domainOut          bool   // the agent's failure domain is out
+	latestRevision     uint64 // the highest revision in a message of a balancer
 	limits             config.Limits
 	upstream           *flow.Announcement
 	departed           *flow.Announcement // the last announcement of an incarnation that announced its departure
@@ -126,7 +127,7 @@
 }
 
 // Configure applies a newer configuration and returns resets for the flows whose
-// route it drops. The actions are valid until the next call.
+// route was dropped. The actions are valid until the next call.
 func (o *Owner) Configure(now time.Time, cfg *config.Config) []Action {
 	o.actions = o.actions[:0]
 	o.cfg = cfg
@@ -145,12 +146,7 @@
 			delete(o.arrivals, address)
 		}
 	}
-	for key, e := range o.flows {
-		if o.routes[key.Service] == nil {
-			o.removeFlow(key, e)
-			o.resetCaller(key, e.callerAck, RouteDropped)
-		}
-	}
+	o.resetDropped(now)
 	return o.actions
 }
 
--- a/internal/coordination/owner/packets.go
+++ b/internal/coordination/owner/packets.go
@@ -12,6 +12,7 @@
 func (o *Owner) HandleBalancerPacket(now time.Time, e *fwdmsg.Envelope, p *flow.Packet) []Action {
 	o.actions = o.actions[:0]
 	o.pause.Resumed(now)
+	o.latestRevision = max(o.latestRevision, e.Revision)
 	key := p.KeyFromCaller()
 	if p.IsOpening() {
 		o.handleOpening(now, key, e, p)
@@ -46,9 +47,9 @@
 
 // shouldOffer reports whether a packet of a flow that is unknown here, or may be older than
 // known here, is to be offered to the upstream, which may hold flows from before the
-// agent's start.
+// agent's start. Their routes may be newer than the configuration in force.
 func (o *Owner) shouldOffer(now time.Time, key flow.Key) bool {
-	return o.upstream != nil && o.mayHoldEarlierFlows && now.Sub(o.startedAt) < offerPeriod && o.routes[key.Service] != nil
+	return o.upstream != nil && o.mayHoldEarlierFlows && now.Sub(o.startedAt) < offerPeriod
 }
 
 // forwardOrReturn sends a packet of an unknown flow to the next agent, or back to the
--- a/internal/coordination/owner/query.go
+++ b/internal/coordination/owner/query.go
@@ -11,6 +11,7 @@
 // are valid until the next call.
 func (o *Owner) HandleQuery(now time.Time, e *fwdmsg.Envelope, questions []fwdmsg.Question) []Action {
 	o.actions = o.actions[:0]
+	o.latestRevision = max(o.latestRevision, e.Revision)
 	statuses := make([]byte, len(questions))
 	for i, q := range questions {
 		statuses[i] = byte(o.heldStatus(now, &q))
--- a/internal/coordination/owner/tick.go
+++ b/internal/coordination/owner/tick.go
@@ -74,6 +74,7 @@
 	}
 	o.lastSweep = now
 	o.offers.sweep(now)
+	o.resetDropped(now)
 	if o.announcementOverdue(now) {
 		o.failedOpenings = max(o.failedOpenings, silentThreshold)
 	}
