--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -20,30 +20,26 @@
 
 // Fleet is the agents that a balancer knows, by service. It is not safe for concurrent use.
 type Fleet struct {
-	started  time.Time
 	cfg      *config.Config
 	agents   map[flow.Endpoint]*Agent
 	services map[string]*service
 
-	// formerServices are, by route address, the services that the route led to in
-	// earlier configurations and does not lead to now.
-	formerServices map[flow.Endpoint][]string
+	former *former
 }
 
 // New returns a Fleet without agents for a balancer that started at a time.
 func New(started time.Time) *Fleet {
 	return &Fleet{
-		started:        started,
-		cfg:            &config.Config{},
-		agents:         map[flow.Endpoint]*Agent{},
-		services:       map[string]*service{},
-		formerServices: map[flow.Endpoint][]string{},
+		cfg:      &config.Config{},
+		agents:   map[flow.Endpoint]*Agent{},
+		services: map[string]*service{},
+		former:   newFormer(started),
 	}
 }
 
 // Configure applies a newer configuration, which the Fleet keeps.
-func (f *Fleet) Configure(cfg *config.Config) {
-	f.recordFormerServices(cfg)
+func (f *Fleet) Configure(now time.Time, cfg *config.Config) {
+	f.former.record(now, f.cfg, cfg)
 	f.cfg = cfg
 	for _, svc := range f.services {
 		svc.updateCandidates(cfg)
@@ -103,8 +99,10 @@
 	changed[f.services[m.Service]] = true
 }
 
-// EvictDead removes the agents that have been dead for deadAgentTTL.
-func (f *Fleet) EvictDead(now time.Time) {
+// Evict removes the agents that have been dead for deadAgentTTL, and the former services
+// of routes whose flows have ended.
+func (f *Fleet) Evict(now time.Time) {
+	f.former.evict(now)
 	for endpoint, a := range f.agents {
 		if a.deadSince.IsZero() || now.Sub(a.deadSince) < deadAgentTTL {
 			continue
--- a/internal/coordination/fleet/fleet_test.go
+++ b/internal/coordination/fleet/fleet_test.go
@@ -43,7 +43,7 @@
 func newFleet() (*fleet.Fleet, *config.Route) {
 	f := fleet.New(start.Add(-2 * time.Minute))
 	cfg := routeTo("desk")
-	f.Configure(cfg)
+	f.Configure(start, cfg)
 	for number := range byte(agentCount) {
 		f.Update(start, []roster.Member{agent(number, "desk")})
 	}
@@ -83,7 +83,7 @@
 		"its domain is out": {func(f *fleet.Fleet) {
 			cfg := routeTo("desk")
 			cfg.Domains = []config.Domain{{Name: "a", Out: true}, {Name: "b"}, {Name: "c"}}
-			f.Configure(cfg)
+			f.Configure(start, cfg)
 		}, all, all, nil, []byte{1, 2, 4, 5}},
 		"it left a question unanswered": {func(f *fleet.Fleet) {
 			f.Agent(endpoint(0)).RecordAsked(start.Add(-200 * time.Millisecond))
@@ -114,7 +114,7 @@
 	f, _ := newFleet()
 	f.Update(start, []roster.Member{agent(10, "hub")})
 	next := routeTo("hub")
-	f.Configure(next)
+	f.Configure(start, next)
 	live, _ := f.PossibleHolders(start, &next.Routes[0], 7)
 	if diff := cmp.Diff([]byte{0, 1, 2, 3, 4, 5, 10}, numbersOf(live)); diff != "" {
 		t.Error(diff)
@@ -126,11 +126,11 @@
 	m := agent(0, "desk")
 	m.State = roster.Dead
 	f.Update(start, []roster.Member{m})
-	f.EvictDead(start.Add(59 * time.Second))
+	f.Evict(start.Add(59 * time.Second))
 	if f.Agent(endpoint(0)) == nil {
 		t.Error("it is forgotten after 59 s")
 	}
-	f.EvictDead(start.Add(time.Minute))
+	f.Evict(start.Add(time.Minute))
 	if f.Agent(endpoint(0)) != nil || f.EligibleCount() != agentCount-1 {
 		t.Errorf("after a minute %v is known, %d are eligible", f.Agent(endpoint(0)), f.EligibleCount())
 	}
--- a/internal/coordination/fleet/holder.go
+++ b/internal/coordination/fleet/holder.go
@@ -16,8 +16,8 @@
 	maxFlowLifetime = 60 * time.Second
 
 	// maxSearchedServices limits the search over all services. With up to this many, a
-	// flow that may be older than the balancer is searched for at all of them, because
-	// its route may have led to any of them.
+	// flow is searched for at all of them before it counts as gone, because its route may
+	// have led to any of them in a configuration that this balancer has not had.
 	maxSearchedServices = 8
 
 	// deadGracePeriod is the time in which an agent that was marked dead may still
@@ -28,10 +28,22 @@
 	MaxLikely = 6
 )
 
-// PossibleHolders returns the agents that may have a flow of a route. Agents that died less
-// than deadGracePeriod ago and may have held flows are returned in dead.
+// PossibleHolders returns the agents that may have a flow of a route, as far as the
+// configurations seen here tell. Agents that died less than deadGracePeriod ago and may have
+// held flows are returned in dead.
 func (f *Fleet) PossibleHolders(now time.Time, route *config.Route, hash uint64) (live, dead []*Agent) {
-	for _, name := range f.candidateServices(now, route, hash) {
+	return f.holdersOf(now, f.candidateServices(now, route, hash))
+}
+
+// AllHolders is like PossibleHolders, but covers configurations that have not been seen here:
+// they may have led the route to any service. With more than maxSearchedServices it equals
+// PossibleHolders.
+func (f *Fleet) AllHolders(now time.Time, route *config.Route, hash uint64) (live, dead []*Agent) {
+	return f.holdersOf(now, f.withOthers(f.candidateServices(now, route, hash)))
+}
+
+func (f *Fleet) holdersOf(now time.Time, services []string) (live, dead []*Agent) {
+	for _, name := range services {
 		svc := f.services[name]
 		if svc == nil {
 			continue
@@ -48,10 +60,24 @@
 	return live, dead
 }
 
-// KnowsServices reports whether PossibleHolders covers all services that a route may have
-// led to while its open flows were opened.
-func (f *Fleet) KnowsServices(now time.Time) bool {
-	return len(f.services) <= maxSearchedServices || now.Sub(f.started) >= maxFlowLifetime
+// KnowsServicesAt returns the time from which AllHolders covers all services to which a route
+// may have led when a flow was opened, the zero time if it does in any case. The flow was open
+// at a time; the configuration of then reaches this balancer within config.ChangeBound.
+func (f *Fleet) KnowsServicesAt(open time.Time) time.Time {
+	if len(f.services) <= maxSearchedServices {
+		return time.Time{}
+	}
+	known := f.former.since.Add(formerTTL)
+	if at := open.Add(config.ChangeBound); at.After(known) {
+		return at
+	}
+	return known
+}
+
+// WasDropped reports whether the route of an address was dropped within the lifetime of a
+// flow, and there is no other.
+func (f *Fleet) WasDropped(address flow.Endpoint) bool {
+	return f.former.wasDropped(address)
 }
 
 // LikelyHolders returns up to MaxLikely agents that may have a flow and answer, in the order of
@@ -81,46 +107,40 @@
 
 // candidateServices returns the services that may have a flow of a route: first the
 // one that new flows of this hash go to, then others of the route, then its former
-// ones. A balancer does not know where routes led before its start, so as long as
-// flows of that time may exist, all services follow, up to maxSearchedServices.
+// ones. All services follow, up to maxSearchedServices, if the route is not known, or may
+// have led elsewhere in configurations that this balancer has not had.
 func (f *Fleet) candidateServices(now time.Time, route *config.Route, hash uint64) []string {
-	first := route.PickService(hash)
-	names := []string{first}
-	for _, share := range route.Shares {
-		if share.Service != first {
-			names = append(names, share.Service)
-		}
-	}
-	for _, former := range f.formerServices[flow.EndpointOf(route.Address)] {
-		if !slices.Contains(names, former) {
-			names = append(names, former)
-		}
+	var names []string
+	if len(route.Shares) > 0 {
+		names = append(names, route.PickService(hash))
 	}
-	if now.Sub(f.started) > maxFlowLifetime || len(f.services) > maxSearchedServices {
-		return names
-	}
-	for _, name := range slices.Sorted(maps.Keys(f.services)) {
+	add := func(name string) {
 		if !slices.Contains(names, name) {
 			names = append(names, name)
 		}
 	}
+	for _, share := range route.Shares {
+		add(share.Service)
+	}
+	for _, name := range f.former.services(flow.EndpointOf(route.Address)) {
+		add(name)
+	}
+	if len(route.Shares) == 0 || !f.former.covers(now) {
+		return f.withOthers(names)
+	}
 	return names
 }
 
-// recordFormerServices records the services that routes lead to now and not in next:
-// open flows stay there. Former services of removed routes are deleted.
-func (f *Fleet) recordFormerServices(next *config.Config) {
-	routes := make(map[flow.Endpoint]*config.Route, len(next.Routes))
-	for i := range next.Routes {
-		routes[flow.EndpointOf(next.Routes[i].Address)] = &next.Routes[i]
+// withOthers returns names and the other services after them, if there are at most
+// maxSearchedServices.
+func (f *Fleet) withOthers(names []string) []string {
+	if len(f.services) > maxSearchedServices {
+		return names
 	}
-	for i := range f.cfg.Routes {
-		address := flow.EndpointOf(f.cfg.Routes[i].Address)
-		for _, share := range f.cfg.Routes[i].Shares {
-			if to := routes[address]; to != nil && !to.Serves(share.Service) && !slices.Contains(f.formerServices[address], share.Service) {
-				f.formerServices[address] = append(f.formerServices[address], share.Service)
-			}
+	for _, name := range slices.Sorted(maps.Keys(f.services)) {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
 		}
 	}
-	maps.DeleteFunc(f.formerServices, func(address flow.Endpoint, _ []string) bool { return routes[address] == nil })
+	return names
 }
--- a/internal/coordination/model/load_test.go
+++ b/internal/coordination/model/load_test.go
@@ -245,7 +245,7 @@
 	for i := range balancerCount {
 		b := steer.New(flow.Endpoint{IP: [4]byte{10, 0, 1, byte(i)}, Port: 7000}, "a", ls.now, steer.WithPolicy(ls.policy))
 		ls.balancers = append(ls.balancers, b)
-		b.Configure(ls.cfg)
+		b.Configure(ls.now, ls.cfg)
 		b.UpdateMembers(ls.now, members)
 		ls.tickBalancer(i, b)
 	}
--- a/internal/coordination/model/narrow_test.go
+++ b/internal/coordination/model/narrow_test.go
@@ -215,7 +215,7 @@
 			})
 			expected = append(expected, agentAddress(a.index))
 		}
-		core.Configure(ns.cfg)
+		core.Configure(ns.now, ns.cfg)
 		core.ExpectMembers(expected)
 		core.UpdateMembers(ns.now, members)
 	})
--- a/internal/coordination/model/world_test.go
+++ b/internal/coordination/model/world_test.go
@@ -247,7 +247,7 @@
 		return
 	}
 	b.cfg = cfg
-	b.core.Configure(cfg)
+	b.core.Configure(fs.now, cfg)
 	fs.updateMembers(b)
 }
 
--- a/internal/coordination/seek/ask.go
+++ b/internal/coordination/seek/ask.go
@@ -22,6 +22,10 @@
 	asked     map[flow.Endpoint]question
 	pending   int // agents that have not replied
 
+	// all says that all agents are asked, also those to which the flows' route did not lead
+	// in any configuration seen here.
+	all bool
+
 	// waiting are the agents that are to be asked directly in the next runs.
 	waiting []flow.Endpoint
 
@@ -58,6 +62,7 @@
 		r := s.searches[key]
 		r.enter(stateQueried, now)
 		r.query, r.uncertain, r.retry = q, nil, false
+		q.all = q.all || r.queryCount > 0 // an agent without a reply must not hide the others
 		r.queryCount++
 		questions = append(questions, fwdmsg.Question{Key: key, Acknowledged: r.acknowledged})
 	}
@@ -86,10 +91,26 @@
 }
 
 // askNext asks up to maxAskedAtOnce agents that may have the flows of a query and were
-// not asked yet: those of a large service in turn, and those that were unknown or
-// another process before. It reports whether there were any.
+// not asked yet: those of a large service in turn, those that were unknown or another
+// process before, and once none is left those of all services. It reports whether there
+// were any.
 func (s *Seeker) askNext(now time.Time, id uint16, q *query, route *config.Route) bool {
-	live, dead := s.fleet.PossibleHolders(now, route, q.keys[0].Hash())
+	if s.askHolders(now, id, q, route) {
+		return true
+	}
+	if q.all {
+		return false
+	}
+	q.all = true
+	return s.askHolders(now, id, q, route)
+}
+
+func (s *Seeker) askHolders(now time.Time, id uint16, q *query, route *config.Route) bool {
+	holders := s.fleet.PossibleHolders
+	if q.all {
+		holders = s.fleet.AllHolders
+	}
+	live, dead := holders(now, route, q.keys[0].Hash())
 	var next []*fleet.Agent
 	for _, a := range slices.Concat(live, dead) {
 		asked, found := q.asked[a.Endpoint]
--- a/internal/coordination/seek/conclude.go
+++ b/internal/coordination/seek/conclude.go
@@ -17,15 +17,19 @@
 		s.endInconclusive(now, key, r, NoRoute)
 		return
 	}
-	live, dead := s.fleet.PossibleHolders(now, route, key.Hash())
+	live, dead := s.fleet.AllHolders(now, route, key.Hash())
+	servicesKnownAt := s.fleet.KnowsServicesAt(r.startedAt)
 	switch {
 	case slices.ContainsFunc(live, r.query.misses):
 		s.endInconclusive(now, key, r, AgentUncertain)
 	case len(dead) > 0:
 		s.endInconclusive(now, key, r, AgentDied)
-	case !s.knowsAllAgents(now), !s.fleet.KnowsServices(now):
+	case !s.knowsAllAgents(now):
 		s.awaitsAgents = true
 		s.endInconclusive(now, key, r, AgentsUnknown)
+	case now.Before(servicesKnownAt):
+		s.endInconclusive(now, key, r, AgentsUnknown)
+		r.retry, r.retryAt = true, servicesKnownAt
 	default:
 		delete(s.searches, key)
 		s.add(Outcome{Kind: Gone, Key: key, Acknowledged: r.acknowledged, SearchTime: now.Sub(r.startedAt)})
--- a/internal/coordination/seek/search.go
+++ b/internal/coordination/seek/search.go
@@ -47,6 +47,9 @@
 	// retry says that the search ended without knowing whether the flow exists, and
 	// that another query may tell.
 	retry bool
+
+	// retryAt is the earliest time of that query.
+	retryAt time.Time
 }
 
 // Seek starts or continues the search for the agent that has the flow of a packet. The
@@ -102,7 +105,7 @@
 // shouldRetry reports whether a search that ended without a result should ask again
 // now, a delay after its end.
 func (r *search) shouldRetry(now time.Time, delay time.Duration) bool {
-	if r.state != stateEnded || !r.retry {
+	if r.state != stateEnded || !r.retry || now.Before(r.retryAt) {
 		return false
 	}
 	r.retry = now.Sub(r.packetAt) < retryPeriod
--- a/internal/coordination/seek/seek_test.go
+++ b/internal/coordination/seek/seek_test.go
@@ -51,7 +51,7 @@
 		Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []config.Share{{Service: "desk", Weight: 1}},
 	}}}
 	f := &fixture{fleet: fleet.New(start.Add(-2 * time.Minute)), route: &cfg.Routes[0]}
-	f.fleet.Configure(cfg)
+	f.fleet.Configure(start, cfg)
 	for number := range byte(agentCount) {
 		f.fleet.Update(start, []roster.Member{member(number)})
 	}
--- a/internal/coordination/steer/absent_test.go
+++ b/internal/coordination/steer/absent_test.go
@@ -42,7 +42,7 @@
 // agents of which it has heard of the first known.
 func startedRouter(known int) *steer.Router {
 	r := steer.New(self, "a", start)
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	var expected []flow.Endpoint
 	for i := range fleetSize {
 		expected = append(expected, fleetAgent(i))
@@ -144,7 +144,7 @@
 // agents without a result until the caller sent another packet.
 func TestAQuestionIsRepeatedToAnAgentThatDoesNotReply(t *testing.T) {
 	r := steer.New(self, "a", start.Add(-time.Minute))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, fleetMembers(0, fleetSize))
 	r.Tick(start)
 	queries := queryAfterChain(t, r, start, r.HandleCallerPacket(start, data(1))[0])
@@ -168,7 +168,7 @@
 func TestALostFlowOfALargeServiceIsReset(t *testing.T) {
 	const count = 700
 	r := steer.New(self, "a", start.Add(-time.Minute))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, fleetMembers(0, count))
 	r.Tick(start)
 	r.HandleCallerPacket(start, data(1))
--- a/internal/coordination/steer/asking_test.go
+++ b/internal/coordination/steer/asking_test.go
@@ -28,7 +28,7 @@
 // from all that are alive.
 func routerAt(address flow.Endpoint, linkRate int, members []roster.Member) *steer.Router {
 	r := steer.New(address, "a", start.Add(-2*time.Minute), steer.WithLinkRate(linkRate))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, members)
 	hearFrom(r, start, slices.DeleteFunc(slices.Clone(members), func(m roster.Member) bool { return m.State != roster.Alive }))
 	r.Tick(start)
--- a/internal/coordination/steer/budget_test.go
+++ b/internal/coordination/steer/budget_test.go
@@ -26,7 +26,7 @@
 
 func narrowRouter(options ...steer.Option) *steer.Router {
 	r := steer.New(self, "a", start.Add(-2*time.Minute), options...)
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, narrowMembers())
 	r.Tick(start)
 	return r
--- a/internal/coordination/steer/delegation_test.go
+++ b/internal/coordination/steer/delegation_test.go
@@ -172,7 +172,7 @@
 func TestARestartedBalancerUsesOtherQueryIDs(t *testing.T) {
 	_, first := delegatingRouter(t)
 	r := steer.New(self, "a", start.Add(-time.Minute), steer.WithLinkRate(slowLink))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, narrowMembers())
 	hearFrom(r, start, narrowMembers())
 	r.Tick(start)
--- a/internal/coordination/steer/findsim_test.go
+++ b/internal/coordination/steer/findsim_test.go
@@ -85,7 +85,7 @@
 			self: endpoint(byte(1 + i)), found: map[flow.Key]time.Time{}, gone: map[flow.Key]time.Time{}, sent: map[fwdmsg.Kind]int{},
 		}
 		b.router = steer.New(b.self, "a", start.Add(-2*time.Minute), steer.WithLinkRate(linkRate))
-		b.router.Configure(newConfig(1, "svc"))
+		b.router.Configure(start, newConfig(1, "svc"))
 		b.router.UpdateMembers(start, members)
 		b.router.Tick(start)
 		fs.balancers = append(fs.balancers, b)
--- a/internal/coordination/steer/hold_test.go
+++ b/internal/coordination/steer/hold_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(diff)
 	}
 
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, agents("svc", 10))
 	if got := r.Tick(start.Add(100 * time.Millisecond)); len(got) != 0 {
 		t.Fatalf("with one of four agents: got %+v", got)
@@ -41,7 +41,7 @@
 	r := steer.New(self, "a", start)
 	r.ExpectMembers([]flow.Endpoint{endpoint(10), endpoint(11)})
 	r.HandleCallerPacket(start, opening(1))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	if got := r.RouteHeld(start.Add(time.Millisecond)); len(got) != 0 {
 		t.Fatalf("without agents: got %+v", got)
 	}
--- a/internal/coordination/steer/intake_bench_test.go
+++ b/internal/coordination/steer/intake_bench_test.go
@@ -17,7 +17,7 @@
 			}
 			b.Run(name+waitingName, func(b *testing.B) {
 				r := steer.New(self, "a", start.Add(-time.Minute), steer.WithLinkRate(rate))
-				r.Configure(newConfig(1, "svc"))
+				r.Configure(start, newConfig(1, "svc"))
 				r.UpdateMembers(start, agents("svc", 10))
 				r.Tick(start)
 				if waiting {
--- a/internal/coordination/steer/intake_review_test.go
+++ b/internal/coordination/steer/intake_review_test.go
@@ -42,7 +42,7 @@
 				}
 			}
 			r.HandleCallerPacket(start, openingFrom(500))
-			r.Configure(newConfig(1, "svc"))
+			r.Configure(start, newConfig(1, "svc"))
 			r.UpdateMembers(start, agents("svc", 10))
 			r.RouteHeld(start.Add(450 * time.Millisecond))
 			return r.Tick(start.Add(550 * time.Millisecond))
@@ -101,7 +101,7 @@
 	r := steer.New(self, "a", start)
 	r.ExpectMembers([]flow.Endpoint{endpoint(10)})
 	r.HandleCallerPacket(start, opening(1))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, agents("svc", 10))
 	got := r.RouteHeld(start.Add(450 * time.Millisecond))
 	if len(got) != 1 || got[0].Reason != steer.Placed || !got[0].Envelope.MaybeDuplicate {
--- a/internal/coordination/steer/intake_test.go
+++ b/internal/coordination/steer/intake_test.go
@@ -39,7 +39,7 @@
 // upload.
 func uploadRouter(members ...roster.Member) *steer.Router {
 	r := steer.New(self, "a", start.Add(-time.Minute), steer.WithLinkRate(1_250_000))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, members)
 	r.Tick(start)
 	before := start.Add(-10 * time.Second)
@@ -140,7 +140,7 @@
 func TestWaitingFlowsOfARemovedRouteAreReset(t *testing.T) {
 	r := uploadRouter(agents("svc", 10)...)
 	open(r, 1, steer.LinkQueued)
-	r.Configure(newConfig(2))
+	r.Configure(start, newConfig(2))
 	got := r.Tick(start.Add(100 * time.Millisecond))
 	if len(got) != 1 || got[0].Kind != steer.Reset || got[0].Reason != steer.NoRoute {
 		t.Errorf("got %+v", got)
--- a/internal/coordination/steer/roundtrip_test.go
+++ b/internal/coordination/steer/roundtrip_test.go
@@ -14,7 +14,7 @@
 	var got []time.Duration
 	observe := func(_ time.Time, d time.Duration) { got = append(got, d) }
 	r := steer.New(self, "a", start.Add(-time.Minute), steer.WithRoundTripObserver(observe))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, agents("svc", 10))
 	r.Tick(start)
 	ms := time.Millisecond
--- a/internal/coordination/steer/run_test.go
+++ b/internal/coordination/steer/run_test.go
@@ -59,7 +59,7 @@
 	var got []time.Duration
 	r := steer.New(self, "a", start.Add(-2*time.Minute), steer.WithLinkRate(tinyLink),
 		steer.WithRoundTripObserver(func(_ time.Time, d time.Duration) { got = append(got, d) }))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, narrowMembers())
 	r.Tick(start)
 	r.HandleCallerPacket(start, data(1))
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -172,7 +172,7 @@
 }
 
 // Configure applies a newer configuration. The Router keeps cfg.
-func (r *Router) Configure(cfg *config.Config) {
+func (r *Router) Configure(now time.Time, cfg *config.Config) {
 	if cfg.IdleTimeout > 0 {
 		r.idleTimeout = cfg.IdleTimeout.Duration()
 	}
@@ -182,7 +182,7 @@
 	}
 	r.routes = routes
 	r.cfg = cfg
-	r.fleet.Configure(cfg)
+	r.fleet.Configure(now, cfg)
 	r.seeker.Configure(routes)
 }
 
--- a/internal/coordination/steer/steer_test.go
+++ b/internal/coordination/steer/steer_test.go
@@ -84,7 +84,7 @@
 
 func convergedRouter(members ...roster.Member) *steer.Router {
 	r := steer.New(self, "a", start.Add(-time.Minute))
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, members)
 	r.Tick(start)
 	return r
@@ -327,7 +327,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := steer.New(self, "a", start.Add(test.started))
-			r.Configure(newConfig(1, "svc"))
+			r.Configure(start, newConfig(1, "svc"))
 			r.UpdateMembers(start, append(agents("svc", 10, 11), test.third))
 			r.Tick(start)
 
@@ -386,7 +386,7 @@
 func TestOpenFlowsAreSearchedAtTheFormerServiceOfTheirRoute(t *testing.T) {
 	r := convergedRouter(append(agents("svc", 10), agents("other", 20)...)...)
 	moved := newConfig(2, "other", "svc")
-	r.Configure(moved)
+	r.Configure(start, moved)
 	r.UpdateMembers(start, append(agents("svc", 10), agents("other", 20)...))
 	got := r.HandleCallerPacket(start, data(1))
 	if len(got) != 1 || got[0].To != endpoint(20) || got[0].Envelope.Ranks[0] != endpoint(10) {
@@ -409,7 +409,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := steer.New(self, "a", start.Add(-test.age))
-			r.Configure(newConfig(1, "svc", "other"))
+			r.Configure(start, newConfig(1, "svc", "other"))
 			r.UpdateMembers(start, append(agents("svc", 10), agents("other", 20)...))
 			r.Tick(start)
 			r.HandleCallerPacket(start, data(1))
@@ -426,7 +426,7 @@
 	r := convergedRouter(agent(10, "svc"), remote)
 	out := newConfig(2, "svc")
 	out.Domains = []config.Domain{{Name: "b", Number: 1, Out: true}}
-	r.Configure(out)
+	r.Configure(start, out)
 	for port := range uint16(50) {
 		if got := r.HandleCallerPacket(start, opening(port)); got[0].To != endpoint(10) || got[0].Envelope.RankCount != 0 {
 			t.Fatalf("got %+v", got)
@@ -450,7 +450,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := steer.New(self, "a", start)
-			r.Configure(newConfig(1, "svc"))
+			r.Configure(start, newConfig(1, "svc"))
 			r.UpdateMembers(start, append(agents("svc", 10), test.others...))
 			r.ExpectMembers(test.expected)
 			r.Tick(start.Add(test.after))
@@ -463,7 +463,7 @@
 
 func TestABalancerSyncedWithOneThatKnowsAllAgentsConverges(t *testing.T) {
 	r := steer.New(self, "a", start)
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, append(agents("svc", 10), balancer(2, 100)))
 	r.ExpectMembers([]flow.Endpoint{endpoint(10), endpoint(11)})
 	r.MarkSynced()
@@ -480,7 +480,7 @@
 
 func TestAnInconclusiveSearchIsRepeatedAfterConvergence(t *testing.T) {
 	r := steer.New(self, "a", start)
-	r.Configure(newConfig(1, "svc"))
+	r.Configure(start, newConfig(1, "svc"))
 	r.UpdateMembers(start, agents("svc", 10))
 	queries := queryAfterChain(t, r, start, r.HandleCallerPacket(start, data(1))[0])
 	if diff := cmp.Diff([]steer.Reason{steer.NotFoundAgentsUnknown}, reasonsOf(reply(r, start, queries[0], fwdmsg.NotHeld))); diff != "" {
@@ -592,7 +592,7 @@
 			if r.Ready() {
 				t.Error("ready without a configuration")
 			}
-			r.Configure(newConfig(1, "svc"))
+			r.Configure(start, newConfig(1, "svc"))
 			r.UpdateMembers(start, append(agents("svc", 10), test.others...))
 			r.Tick(start.Add(test.age))
 			if got := r.Ready(); got != test.want {
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -118,7 +118,7 @@
 		return
 	}
 	r.lastSweep = now
-	r.fleet.EvictDead(now)
+	r.fleet.Evict(now)
 	r.seeker.Sweep(now)
 	for key, e := range r.flows {
 		idle := now.Sub(e.lastActive)
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -37,6 +37,11 @@
 
 	// IdleTimeout is the time after which the state of an idle forwarded flow may be removed.
 	IdleTimeout Milliseconds `json:"idleTimeoutMs,omitempty"`
+
+	// Former are services to which routes led before, sorted by Until. From the revision
+	// FormerFrom on the list is complete; 0 if nothing is known of earlier configurations.
+	Former     []Former `json:"former,omitempty"`
+	FormerFrom uint64   `json:"formerFrom,omitempty"`
 }
 
 // Domain is a failure domain.
@@ -150,6 +155,9 @@
 
 		Routes:      slices.Clone(c.Routes),
 		IdleTimeout: c.IdleTimeout,
+
+		Former:     slices.Clone(c.Former),
+		FormerFrom: c.FormerFrom,
 	}
 }
 
--- a/internal/state/config/delta.go
+++ b/internal/state/config/delta.go
@@ -35,6 +35,11 @@
 
 	// IdleTimeout replaces the previous one.
 	IdleTimeout Milliseconds `json:"idleTimeoutMs,omitempty"`
+
+	// Former are the services to which routes led in between and do not lead in To. The list
+	// is complete if Gapless is set.
+	Former  []Former `json:"former,omitempty"`
+	Gapless bool     `json:"gapless,omitempty"`
 }
 
 // Diff returns the delta from one configuration to a later one. It shares memory with to.
@@ -42,6 +47,7 @@
 	d := Delta{From: from.Revision, To: to.Revision, Operators: to.Operators, Domains: to.Domains, DrainedUpstreams: to.DrainedUpstreams, IdleTimeout: to.IdleTimeout}
 	d.Services, d.RemovedServices = diffItems(from.Services, to.Services, serviceName, (*Service).equal)
 	d.Routes, d.RemovedRoutes = diffItems(from.Routes, to.Routes, routeName, (*Route).equal)
+	d.Former, d.Gapless = to.FormerSince(from.Revision), to.FollowsSeen(from.Revision)
 	return d
 }
 
@@ -57,6 +63,10 @@
 		Services: patchItems(c.Services, d.Services, d.RemovedServices, serviceName),
 		Routes:   patchItems(c.Routes, d.Routes, d.RemovedRoutes, routeName),
 	}
+	if d.Gapless {
+		next.FormerFrom = c.formerFrom()
+	}
+	next.addFormer(c.Former, d.Former)
 	next.sort()
 	return next, next.Validate()
 }
@@ -66,6 +76,7 @@
 	joined := Delta{From: d.From, To: next.To, Operators: next.Operators, Domains: next.Domains, DrainedUpstreams: next.DrainedUpstreams, IdleTimeout: next.IdleTimeout}
 	joined.Services, joined.RemovedServices = joinChanges(d.Services, next.Services, d.RemovedServices, next.RemovedServices, serviceName)
 	joined.Routes, joined.RemovedRoutes = joinChanges(d.Routes, next.Routes, d.RemovedRoutes, next.RemovedRoutes, routeName)
+	joined.Former, joined.Gapless = slices.Concat(d.Former, next.Former), d.Gapless && next.Gapless
 	return joined
 }
 
--- a/internal/transport/ctrl/adopt.go
+++ b/internal/transport/ctrl/adopt.go
@@ -40,6 +40,9 @@
 	defer p.mu.Unlock()
 
 	previous := p.gate.InForce()
+	if cfg.FormerFrom == 0 {
+		recordFormer(previous, cfg)
+	}
 	decision := p.gate.Offer(time.Now(), cfg)
 	switch decision {
 	case adopt.Hold:
@@ -56,6 +59,16 @@
 	return decision
 }
 
+// recordFormer records the former services of a configuration that was read as a whole. The
+// operators write no configuration twice, so there was none between two with their version.
+func recordFormer(previous, cfg *config.Config) {
+	if cfg.Operators > 0 && cfg.Operators == previous.Operators {
+		cfg.Follow(previous)
+		return
+	}
+	cfg.FollowUnseen(previous)
+}
+
 // observeEra exchanges the latest era of the store between the store's client and the
 // peers. It must be called with the lock held.
 func (p *Plane) observeEra() {
--- a/internal/transport/fwbal/fwbal.go
+++ b/internal/transport/fwbal/fwbal.go
@@ -197,11 +197,11 @@
 			"weight", m.Weight, "incarnation", m.Incarnation, "sequence", m.Sequence)
 	}
 
+	now := time.Now()
 	if cfg.Revision != b.revision {
 		b.revision = cfg.Revision
-		b.router.Configure(cfg)
+		b.router.Configure(now, cfg)
 	}
-	now := time.Now()
 	if !incompleteUntil.Equal(b.incompleteUntil) {
 		b.log.Info("members may be missing", "for", incompleteUntil.Sub(now).Round(time.Millisecond))
 		b.incompleteUntil = incompleteUntil
