--- a/internal/state/config/delta.go
+++ b/internal/state/config/delta.go
@@ -37,9 +37,9 @@
 	IdleTimeout Milliseconds `json:"idleTimeoutMs,omitempty"`
 
 	// Former are the services to which routes led in between and do not lead in To. The list
-	// is complete if Gapless is set.
-	Former  []Former `json:"former,omitempty"`
-	Gapless bool     `json:"gapless,omitempty"`
+	// is complete from the revision FormerFrom on, which may be before From; 0 if none is.
+	Former     []Former `json:"former,omitempty"`
+	FormerFrom uint64   `json:"formerFrom,omitempty"`
 }
 
 // Diff returns the delta from one configuration to a later one. It shares memory with to.
@@ -47,7 +47,7 @@
 	d := Delta{From: from.Revision, To: to.Revision, Operators: to.Operators, Domains: to.Domains, DrainedUpstreams: to.DrainedUpstreams, IdleTimeout: to.IdleTimeout}
 	d.Services, d.RemovedServices = diffItems(from.Services, to.Services, serviceName, (*Service).equal)
 	d.Routes, d.RemovedRoutes = diffItems(from.Routes, to.Routes, routeName, (*Route).equal)
-	d.Former, d.Gapless = to.FormerSince(from.Revision), to.FollowsSeen(from.Revision)
+	d.Former, d.FormerFrom = to.FormerSince(from.Revision), to.FormerFrom
 	return d
 }
 
@@ -63,7 +63,8 @@
 		Services: patchItems(c.Services, d.Services, d.RemovedServices, serviceName),
 		Routes:   patchItems(c.Routes, d.Routes, d.RemovedRoutes, routeName),
 	}
-	if d.Gapless {
+	next.FormerFrom = d.FormerFrom
+	if d.isComplete() {
 		next.FormerFrom = c.formerFrom()
 	}
 	next.addFormer(c.Former, d.Former)
@@ -76,10 +77,18 @@
 	joined := Delta{From: d.From, To: next.To, Operators: next.Operators, Domains: next.Domains, DrainedUpstreams: next.DrainedUpstreams, IdleTimeout: next.IdleTimeout}
 	joined.Services, joined.RemovedServices = joinChanges(d.Services, next.Services, d.RemovedServices, next.RemovedServices, serviceName)
 	joined.Routes, joined.RemovedRoutes = joinChanges(d.Routes, next.Routes, d.RemovedRoutes, next.RemovedRoutes, routeName)
-	joined.Former, joined.Gapless = slices.Concat(d.Former, next.Former), d.Gapless && next.Gapless
+	joined.Former, joined.FormerFrom = slices.Concat(d.Former, next.Former), next.FormerFrom
+	if next.isComplete() {
+		joined.FormerFrom = d.FormerFrom
+	}
 	return joined
 }
 
+// isComplete reports whether Former is complete.
+func (d *Delta) isComplete() bool {
+	return d.FormerFrom > 0 && d.FormerFrom <= d.From
+}
+
 func serviceName(s *Service) string { return s.Name }
 
 func routeName(r *Route) string { return r.Name }
