--- a/internal/coordination/seek/conclude.go
+++ b/internal/coordination/seek/conclude.go
@@ -12,12 +12,7 @@
 // the flow may still exist: at agents that were not asked, died lately or are not known
 // yet.
 func (s *Seeker) conclude(now time.Time, key flow.Key, r *search) {
-	route := s.routes[key.Service]
-	if route == nil {
-		s.endInconclusive(now, key, r, NoRoute)
-		return
-	}
-	live, dead := s.fleet.AllHolders(now, route, key.Hash())
+	live, dead := s.fleet.AllHolders(now, s.routeOf(key.Service), key.Hash())
 	servicesKnownAt := s.fleet.KnowsServicesAt(r.startedAt)
 	switch {
 	case slices.ContainsFunc(live, r.query.misses):
@@ -27,6 +22,9 @@
 	case !s.knowsAllAgents(now):
 		s.awaitsAgents = true
 		s.endInconclusive(now, key, r, AgentsUnknown)
+	case s.outdated && !servicesKnownAt.IsZero():
+		s.endInconclusive(now, key, r, AgentsUnknown)
+		r.retry = true
 	case now.Before(servicesKnownAt):
 		s.endInconclusive(now, key, r, AgentsUnknown)
 		r.retry, r.retryAt = true, servicesKnownAt
--- a/internal/coordination/seek/delegation.go
+++ b/internal/coordination/seek/delegation.go
@@ -164,8 +164,8 @@
 // another way, once the link permits. Agents that are dead or without flows are not
 // asked again.
 func (s *Seeker) replaceDelegate(now time.Time, d *delegation) {
-	route := s.routes[d.query.keys[0].Service]
-	if d.replaced || route == nil || !s.awaited(d.query) || !s.mayAsk(now) {
+	route := s.routeOf(d.query.keys[0].Service)
+	if d.replaced || !s.awaited(d.query) || !s.mayAsk(now) {
 		return
 	}
 	d.replaced = true
--- a/internal/coordination/seek/finish.go
+++ b/internal/coordination/seek/finish.go
@@ -9,8 +9,8 @@
 // finishQuery ends a query if all agents that may have its flows were asked, and
 // continues the searches for flows that no agent reported to have.
 func (s *Seeker) finishQuery(now time.Time, id uint16, q *query) {
-	route := s.routes[q.keys[0].Service]
-	if route != nil && s.awaited(q) && s.askNext(now, id, q, route) {
+	route := s.routeOf(q.keys[0].Service)
+	if s.awaited(q) && s.askNext(now, id, q, route) {
 		return
 	}
 	s.endQuery(id, q)
--- a/internal/coordination/seek/outcome.go
+++ b/internal/coordination/seek/outcome.go
@@ -36,12 +36,11 @@
 	AgentUncertain Cause = iota
 	// AgentDied: an agent that may have had the flow died shortly before.
 	AgentDied
-	// AgentsUnknown: this balancer does not know all agents yet.
+	// AgentsUnknown: this balancer does not know all agents yet, or not to which services the
+	// flow's route led.
 	AgentsUnknown
 	// AgentSilent: an agent did not answer.
 	AgentSilent
-	// NoRoute: the flow's route was dropped.
-	NoRoute
 	// NoUpstream: there is no agent that may have the flow.
 	NoUpstream
 )
--- a/internal/coordination/seek/query.go
+++ b/internal/coordination/seek/query.go
@@ -78,9 +78,7 @@
 		return
 	}
 	for _, address := range slices.SortedFunc(maps.Keys(due), flow.Endpoint.Compare) {
-		if route := s.routes[address]; route != nil {
-			s.askAbout(now, route, due[address])
-		}
+		s.askAbout(now, s.routeOf(address), due[address])
 	}
 }
 
--- a/internal/coordination/seek/search.go
+++ b/internal/coordination/seek/search.go
@@ -59,7 +59,11 @@
 func (s *Seeker) Seek(now time.Time, key flow.Key, p *flow.Packet, route *config.Route) []Outcome {
 	s.outcomes = s.outcomes[:0]
 	r := s.searches[key]
-	if r == nil && len(s.searches) >= maxSearches {
+	limit := maxSearches
+	if len(route.Shares) == 0 {
+		limit = maxUnroutedSearches
+	}
+	if r == nil && len(s.searches) >= limit {
 		s.add(Outcome{Kind: Unresolved, Cause: AgentUncertain, Key: key})
 		return s.outcomes
 	}
@@ -168,8 +172,7 @@
 // offerToUncertain sends the packet of a flow that no agent reports to the agents
 // that cannot tell: an agent whose upstream has the flow takes it, others return it.
 func (s *Seeker) offerToUncertain(now time.Time, key flow.Key, r *search) {
-	route := s.routes[key.Service]
-	if len(r.uncertain) == 0 || route == nil {
+	if len(r.uncertain) == 0 {
 		s.conclude(now, key, r)
 		return
 	}
--- a/internal/coordination/seek/seek.go
+++ b/internal/coordination/seek/seek.go
@@ -75,8 +75,11 @@
 	// this a flow is never declared gone.
 	maxQueriedAgents = 4096
 
-	// maxSearches limits the searches that are kept, of up to 1.2 KB each.
-	maxSearches = 2048
+	// maxSearches limits the searches that are kept, of up to 1.2 KB each. Beyond
+	// maxUnroutedSearches none begins for a flow whose address has no route, so that packets
+	// to arbitrary addresses leave room for the others.
+	maxSearches         = 2048
+	maxUnroutedSearches = maxSearches / 2
 
 	// replyDelayFactor is the ratio of the time that agents have for replies to the
 	// average delay of notices, and maxReplyTimeout the longest such time on a slow link:
@@ -100,6 +103,9 @@
 	incompleteUntil time.Time
 	awaitsAgents    bool
 
+	// outdated says that a later configuration than the one in force is known to exist.
+	outdated bool
+
 	// noticeDelay is the average time from an opening packet to its notice.
 	noticeDelay time.Duration
 
@@ -162,6 +168,19 @@
 	s.routes = routes
 }
 
+// SetOutdated sets whether a later configuration than the one in force is known to exist.
+func (s *Seeker) SetOutdated(outdated bool) {
+	s.outdated = outdated
+}
+
+// routeOf returns the route of an address, without services if there is none.
+func (s *Seeker) routeOf(address flow.Endpoint) *config.Route {
+	if route := s.routes[address]; route != nil {
+		return route
+	}
+	return &config.Route{Address: address.AddrPort()}
+}
+
 // SetNoticeDelay sets the average time from an opening packet to its notice. On a link
 // whose rate is known, replies take as long.
 func (s *Seeker) SetNoticeDelay(d time.Duration) {
--- a/internal/coordination/steer/action.go
+++ b/internal/coordination/steer/action.go
@@ -62,7 +62,8 @@
 	Offered                Reason = "offered"                // unknown flow; sent to an agent that cannot tell whether it has the flow
 	Found                  Reason = "found"                  // an agent answered a query that it has the flow
 	FlowGone               Reason = "flowGone"               // no agent has the flow
-	NoRoute                Reason = "noRoute"                // no route for the destination address
+	RouteUnknown           Reason = "routeUnknown"           // new flow; waits for a configuration that has its route
+	NoRoute                Reason = "noRoute"                // new flow; no route for the destination address
 	NoUpstream             Reason = "noUpstream"             // no agent to send the packet to
 
 	// A flow that no agent reports may still exist if an agent could not tell, if one
--- a/internal/coordination/steer/caller.go
+++ b/internal/coordination/steer/caller.go
@@ -29,8 +29,12 @@
 func (r *Router) routeCallerPacket(now time.Time, key flow.Key, p *flow.Packet) {
 	route := r.routes[key.Service]
 	switch {
-	case route == nil:
+	case route == nil && p.IsOpening():
+		r.awaitRoute(now, key, p)
+	case route == nil && r.cfg.Revision == 0:
 		r.reject(key, p, NoRoute)
+	case route == nil:
+		r.routeEstablished(now, key, p, r.routeOf(key.Service))
 	case p.IsOpening():
 		r.routeOpening(now, key, p, route)
 	default:
@@ -52,13 +56,11 @@
 }
 
 func (r *Router) envelope(route *config.Route, key flow.Key, wantNotice bool) fwdmsg.Envelope {
-	return fwdmsg.Envelope{
-		Kind:        fwdmsg.CallerPacket,
-		Revision:    r.cfg.Revision,
-		ServiceHash: config.ServiceHash(route.PickService(key.Hash())),
-		Balancer:    r.self,
-		WantNotice:  wantNotice,
+	e := fwdmsg.Envelope{Kind: fwdmsg.CallerPacket, Revision: r.cfg.Revision, Balancer: r.self, WantNotice: wantNotice}
+	if len(route.Shares) > 0 {
+		e.ServiceHash = config.ServiceHash(route.PickService(key.Hash()))
 	}
+	return e
 }
 
 // reject answers a packet that cannot be routed with a reset. A reset packet itself
--- a/internal/coordination/steer/hold.go
+++ b/internal/coordination/steer/hold.go
@@ -54,6 +54,7 @@
 func (r *Router) RouteHeld(now time.Time) []Action {
 	r.actions = r.actions[:0]
 	r.routeHeld(now)
+	r.routeUnrouted(now)
 	return r.actions
 }
 
--- a/internal/coordination/steer/late.go
+++ b/internal/coordination/steer/late.go
@@ -23,5 +23,6 @@
 			r.endOpening(key)
 		}
 	}
+	r.unrouted = nil
 	r.heldPackets = slices.DeleteFunc(r.heldPackets, func(h heldPacket) bool { return h.packet.IsOpening() })
 }
--- a/internal/coordination/steer/notice.go
+++ b/internal/coordination/steer/notice.go
@@ -17,6 +17,8 @@
 	r.use.countIn(now, budget.MessageLength+len(payload))
 	if a := r.fleet.Agent(e.Agent); a != nil {
 		a.RecordHeard(now)
+		r.latestRevision = max(r.latestRevision, e.Revision)
+		r.seeker.SetOutdated(r.latestRevision > r.cfg.Revision)
 	}
 	switch e.Kind {
 	case fwdmsg.Notice:
@@ -86,11 +88,6 @@
 // not have its flow.
 func (r *Router) handleReturned(now time.Time, e *fwdmsg.Envelope, p *flow.Packet) {
 	key := p.KeyFromCaller()
-	route := r.routes[key.Service]
-	if route == nil {
-		r.reject(key, p, NoRoute)
-		return
-	}
 	if p.IsOpening() {
 		return // agents return no opening packets
 	}
@@ -101,6 +98,6 @@
 
 	if known := r.flows[key]; known != nil && known.agent == e.Agent {
 		delete(r.flows, key)
-		r.performSearch(now, r.seeker.Seek(now, key, p, route))
+		r.performSearch(now, r.seeker.Seek(now, key, p, r.routeOf(key.Service)))
 	}
 }
--- a/internal/coordination/steer/search.go
+++ b/internal/coordination/steer/search.go
@@ -15,7 +15,6 @@
 	seek.AgentDied:      NotFoundAgentDied,
 	seek.AgentsUnknown:  NotFoundAgentsUnknown,
 	seek.AgentSilent:    NotFoundAgentSilent,
-	seek.NoRoute:        NoRoute,
 	seek.NoUpstream:     NoUpstream,
 }
 
@@ -40,11 +39,7 @@
 	if o.Kind == seek.Found && len(r.flows) < maxFlows {
 		r.flows[o.Key] = &flowEntry{agent: o.To, lastActive: now}
 	}
-	route := r.routes[o.Key.Service]
-	if route == nil {
-		return
-	}
-	action := Action{Reason: Found, Key: o.Key, To: o.To, Envelope: r.envelope(route, o.Key, false), Packet: o.Packet, SearchTime: o.SearchTime}
+	action := Action{Reason: Found, Key: o.Key, To: o.To, Envelope: r.envelope(r.routeOf(o.Key.Service), o.Key, false), Packet: o.Packet, SearchTime: o.SearchTime}
 	switch o.Kind {
 	case seek.Pass:
 		action.Reason, action.Envelope.WantNotice = Lookup, o.WantNotice
--- a/internal/coordination/steer/steer.go
+++ b/internal/coordination/steer/steer.go
@@ -128,6 +128,12 @@
 	heldPackets    []heldPacket
 	placementReady bool
 
+	// unrouted are the opening packets to addresses without a route.
+	unrouted []heldPacket
+
+	// latestRevision is the highest revision in a message of an agent.
+	latestRevision uint64
+
 	// oldestOpen is at or before the sentAt of all pendingOpens. A notice does not
 	// update it; the next Tick does.
 	oldestOpen time.Time
@@ -184,6 +190,7 @@
 	r.cfg = cfg
 	r.fleet.Configure(now, cfg)
 	r.seeker.Configure(routes)
+	r.seeker.SetOutdated(r.latestRevision > cfg.Revision)
 }
 
 // FlowCount returns how many flows are cached.
--- a/internal/coordination/steer/tick.go
+++ b/internal/coordination/steer/tick.go
@@ -14,6 +14,9 @@
 	if at := r.lastTick.Add(holdTickInterval); len(r.heldPackets) > 0 && (due.IsZero() || at.Before(due)) {
 		due = at
 	}
+	if at, pending := r.nextRouteDeadline(); pending && (due.IsZero() || at.Before(due)) {
+		due = at
+	}
 	if at, pending := r.nextOpenDue(); pending && (due.IsZero() || at.Before(due)) {
 		due = at
 	}
@@ -54,6 +57,7 @@
 	r.probeAbsent(now)
 	r.checkConverged(now)
 	r.routeHeld(now)
+	r.routeUnrouted(now)
 	r.placeWaiting(now)
 	r.performSearch(now, r.seeker.Tick(now))
 	r.retryOpens(now, delay)
