--- a/internal/coordination/owner/restart_test.go
+++ b/internal/coordination/owner/restart_test.go
@@ -203,3 +203,39 @@
 		t.Errorf("after that: got %v", kind)
 	}
 }
+
+// Guards against a restarted agent that first receives a late announcement of a crashed
+// incarnation, takes the running one for its successor, and denies the flows that it got
+// from the agent's predecessor (second review, case 10).
+func TestALateAnnouncementDoesNotMakeARestartedAgentCertain(t *testing.T) {
+	running := func(born time.Duration, sequence uint64) flow.Announcement {
+		return announcement(func(a *flow.Announcement) {
+			a.ID, a.StartedUnixMilli, a.Sequence = "i-2", start.Add(born).UnixMilli(), sequence
+		})
+	}
+	crashed := announcement(func(a *flow.Announcement) { a.StartedUnixMilli, a.Sequence = start.Add(-time.Minute).UnixMilli(), 60 })
+	tests := map[string]struct {
+		before  func(*owner.Owner)
+		running flow.Announcement
+		want    fwdmsg.HeldStatus
+	}{
+		"a late announcement": {func(o *owner.Owner) { o.HandleAnnouncement(start, crashed) }, running(-10*time.Second, 3), fwdmsg.Uncertain},
+		"late announcement and departure": {func(o *owner.Owner) {
+			o.HandleAnnouncement(start, crashed)
+			o.HandleDeparture(start, crashed.ID)
+		}, running(-10*time.Second, 12), fwdmsg.Uncertain},
+		"the running one started after the agent": {func(o *owner.Owner) { o.HandleAnnouncement(start, crashed) }, running(500*time.Millisecond, 1), fwdmsg.NotHeld},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+			o.Configure(start, newConfig(1, nil))
+			test.before(o)
+			now := start.Add(time.Second)
+			o.HandleAnnouncement(now, test.running)
+			if got := statusOf(o, now, 1); got != test.want {
+				t.Errorf("got status %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -25,7 +25,7 @@
 	}
 	newIncarnation := o.upstream == nil || !o.upstream.SameIncarnation(&a)
 	if newIncarnation {
-		o.mayHoldEarlierFlows = o.departed == nil && o.upstream == nil && !o.knowsFromStart(now, &a)
+		o.mayHoldEarlierFlows = !o.knowsFromStart(now, &a)
 		o.ramp.fill(now)
 		o.failedOpenings = 0
 	}
@@ -43,7 +43,8 @@
 
 // knowsFromStart reports whether this agent has certainly seen all flows of an upstream of
 // which it first hears now: it is older than the upstream, or no earlier process can have
-// handled an announcement. A low sequence number alone does not prove that.
+// handled an announcement. A low sequence number alone does not prove that, nor does an
+// earlier incarnation that announced itself here: its announcement may have been late.
 func (o *Owner) knowsFromStart(now time.Time, a *flow.Announcement) bool {
 	start, known := o.startOf(now, a)
 	isOlder := !start.Before(o.startedAt.Truncate(time.Millisecond))
