--- a/internal/coordination/member/handle.go
+++ b/internal/coordination/member/handle.go
@@ -18,7 +18,7 @@
 
 	var source ConfigSource
 	if n.isNewerConfig(&m) && m.From.Admin.IsValid() {
-		source = ConfigSource{Revision: m.Revision, Operators: m.Operators, Admin: m.From.Admin}
+		source = ConfigSource{Revision: m.Revision, Operators: m.Operators, Admin: m.From.Admin, Near: m.From.Domain == n.self.Domain}
 	}
 	n.ObserveEra(m.Era)
 
--- a/internal/coordination/member/message.go
+++ b/internal/coordination/member/message.go
@@ -104,4 +104,7 @@
 
 	// Admin is the address from which the process serves it.
 	Admin netip.AddrPort
+
+	// Near says that the process is in the same failure domain.
+	Near bool
 }
--- a/internal/coordination/member/node.go
+++ b/internal/coordination/member/node.go
@@ -107,7 +107,7 @@
 	started time.Time // of the first heartbeat
 	synced  bool      // whether a balancer that knew all members had the same table
 
-	lastTick, lastHeartbeat, lastPush, lastDigest, lastJoin, lastProbe, lastDeadProbe, lastReceived, lastForget time.Time
+	lastTick, lastHeartbeat, lastPush, lastDigest, lastJoin, lastProbe, lastDeadProbe, lastReceived, lastForget, lastInquiry time.Time
 }
 
 // New returns a Node for the process that self describes.
--- a/internal/transport/ctrl/adopt.go
+++ b/internal/transport/ctrl/adopt.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/adopt"
-	"github.com/coriandershift/coriandershift/internal/coordination/member"
 	"github.com/coriandershift/coriandershift/internal/state/config"
 	"github.com/coriandershift/coriandershift/internal/state/revno"
 )
@@ -51,6 +50,7 @@
 			"revision", cfg.Revision, "operators", cfg.Operators, "operatorsInForce", previous.Operators, "source", source)
 	case adopt.Adopt:
 		p.history.Add(config.Diff(previous, cfg))
+		p.plan.Apply(time.Now(), cfg)
 		p.node.SetRevision(cfg.Revision, cfg.Operators)
 		p.metrics.ConfigRevision.Set(float64(cfg.Revision))
 		p.log.Info("configuration in force", "revision", cfg.Revision, "operators", cfg.Operators, "source", source)
@@ -84,34 +84,3 @@
 		p.metrics.StoreEra.Set(float64(p.era))
 	}
 }
-
-// fetch fetches the configuration of a peer in the background, unless another fetch
-// is running or the peer's is not newer.
-func (p *Plane) fetch(source member.ConfigSource) {
-	p.mu.Lock()
-	offered := config.Config{Revision: source.Revision, Operators: source.Operators}
-	skip := p.fetching || !offered.NewerThan(p.gate.InForce())
-	if !skip {
-		p.fetching = true
-	}
-	p.mu.Unlock()
-	if skip {
-		return
-	}
-
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-		defer cancel()
-
-		cfg, err := p.fetcher.Fetch(ctx, source.Admin, p.Config())
-		if err != nil {
-			p.log.Warn("cannot fetch configuration", "peer", source.Admin, "error", err)
-		} else {
-			p.offer(cfg, "peer")
-		}
-
-		p.mu.Lock()
-		p.fetching = false
-		p.mu.Unlock()
-	}()
-}
--- a/internal/transport/ctrl/ctrl.go
+++ b/internal/transport/ctrl/ctrl.go
@@ -16,6 +16,7 @@
 
 	"github.com/coriandershift/coriandershift"
 	"github.com/coriandershift/coriandershift/internal/coordination/adopt"
+	"github.com/coriandershift/coriandershift/internal/coordination/fetch"
 	"github.com/coriandershift/coriandershift/internal/coordination/member"
 	"github.com/coriandershift/coriandershift/internal/protocol/gossip"
 	"github.com/coriandershift/coriandershift/internal/state/config"
@@ -50,13 +51,13 @@
 	// of FollowConfigSource accesses it.
 	storeLost bool
 
-	mu       sync.Mutex
-	node     *member.Node
-	gate     *adopt.Gate // has the configuration in force
-	era      uint64      // latest era of the store heard of
-	history  config.History
-	fetching bool          // a fetch from a peer is running
-	changed  chan struct{} // holds up to one signal
+	mu      sync.Mutex
+	node    *member.Node
+	gate    *adopt.Gate // has the configuration in force
+	era     uint64      // latest era of the store heard of
+	history config.History
+	plan    *fetch.Plan
+	changed chan struct{} // holds up to one signal
 
 	// rosterVersion and incompleteUntil are those of node at the last signal for a change
 	// of members.
@@ -99,6 +100,7 @@
 		conn:    conn,
 		node:    member.New(o.Self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:    adopt.New(),
+		plan:    fetch.New(),
 		changed: make(chan struct{}, 1),
 
 		observeDatagram: func(bool, int) {},
--- a/internal/transport/ctrl/peers.go
+++ b/internal/transport/ctrl/peers.go
@@ -35,6 +35,9 @@
 // status than expected.
 var ErrNoConfig = errors.New("peer has no configuration")
 
+// errNotModified reports that a peer has the same configuration.
+var errNotModified = errors.New("peer has the same configuration")
+
 // HTTPFetcher is a ConfigFetcher over plain HTTP/1.1. It is meant for a network between
 // the VMs that nobody else can reach, where a TLS handshake would cost more processor
 // time than everything else.
@@ -57,6 +60,9 @@
 	if known != nil && known.Revision > 0 {
 		var delta config.Delta
 		found, err := f.get(ctx, admin, known.Revision, &delta)
+		if errors.Is(err, errNotModified) {
+			return known, nil
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -92,6 +98,8 @@
 	switch {
 	case response.StatusCode == http.StatusNoContent && after > 0:
 		return false, nil
+	case response.StatusCode == http.StatusNotModified && after > 0:
+		return false, errNotModified
 	case response.StatusCode != http.StatusOK:
 		return false, errors.WithMessagef(ErrNoConfig, "%s answered %s", admin, response.Status)
 	}
@@ -104,8 +112,8 @@
 }
 
 // ServeConfig answers a peer's request for the configuration in force. If the request
-// names a revision, the answer holds the changes since then, and has status 204 if they
-// are no longer in the history.
+// names a revision, the answer holds the changes since then. It has status 304 if there are
+// none, and 204 if they are no longer in the history.
 func (p *Plane) ServeConfig(w http.ResponseWriter, r *http.Request) {
 	cfg := p.Config()
 	if cfg.Revision == 0 {
@@ -120,6 +128,10 @@
 			http.Error(w, afterParam+" must be a revision", http.StatusBadRequest)
 			return
 		}
+		if after == cfg.Revision {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		delta, known := p.DeltaSince(after)
 		if !known {
 			w.WriteHeader(http.StatusNoContent)
--- a/internal/transport/ctrl/run.go
+++ b/internal/transport/ctrl/run.go
@@ -25,7 +25,7 @@
 	p.send(sends)
 	p.signalMemberChanges()
 	if source.Revision > 0 {
-		p.fetch(source)
+		p.offerSource(source)
 	}
 }
 
--- a/internal/transport/ctrl/source.go
+++ b/internal/transport/ctrl/source.go
@@ -41,12 +41,17 @@
 	// rankCheckInterval is the time between two checks whether this balancer has to
 	// watch the store.
 	rankCheckInterval = time.Second
+
+	// starvedCheckInterval is the time between two such checks of a balancer that does not
+	// watch the store. It does so once its peers cannot serve a change.
+	starvedCheckInterval = 250 * time.Millisecond
 )
 
 // FollowConfigSource keeps the operators' configuration in force until the context ends.
 // It waits for changes at the source only on the first watchersPerDomain balancers of
-// each failure domain on the ring, and on isolated ones. The others learn of changes
-// from their peers, and read the source when they start.
+// each failure domain on the ring, on isolated ones, and on those that cannot fetch a change
+// from any peer. The others learn of changes from their peers, and read the source when
+// they start.
 func (p *Plane) FollowConfigSource(ctx context.Context, source coriandershift.ConfigSource) {
 	started := time.Now()
 	cfg := p.loadInitialConfig(ctx, source)
@@ -54,7 +59,7 @@
 	delay := sourceRetryDelay
 	for ctx.Err() == nil {
 		if !p.watchesSource() {
-			sleep(ctx, rankCheckInterval)
+			sleep(ctx, starvedCheckInterval)
 			continue
 		}
 
@@ -82,7 +87,7 @@
 
 // watchesSource reports whether this balancer has to wait for changes at the source.
 func (p *Plane) watchesSource() bool {
-	return p.rankInDomain() < watchersPerDomain || p.Config().Revision == 0 || p.isolated()
+	return p.rankInDomain() < watchersPerDomain || p.Config().Revision == 0 || p.isolated() || p.starved()
 }
 
 // stopIfOthersWatch calls stop once other balancers wait for changes instead of this
--- a/internal/transport/ctrl/source_test.go
+++ b/internal/transport/ctrl/source_test.go
@@ -370,6 +370,7 @@
 		want  []string
 	}{
 		"the previous revision":          {first, []string{"after=3"}},
+		"the same revision":              {second, []string{"after=5"}},
 		"a revision unknown to the peer": {configWithRoutes(4, 200), []string{"after=4", ""}},
 		"no configuration":               {&config.Config{}, []string{""}},
 	}
--- a/internal/transport/fwagt/fwagt.go
+++ b/internal/transport/fwagt/fwagt.go
@@ -245,6 +245,9 @@
 			a.metrics.DroppedDatagrams.WithLabelValues("malformed").Inc()
 			return
 		}
+		if envelope.Revision > a.revision && !envelope.Balancer.IsZero() {
+			a.control.InquireConfig(envelope.Balancer.AddrPort())
+		}
 		a.perform(now, a.owner.HandleBalancerPacket(now, &envelope, &packet))
 	case fwdmsg.Query:
 		questions, err := fwdmsg.ParseQuestions(payload)
