--- a/internal/coordination/adopt/adopt.go
+++ b/internal/coordination/adopt/adopt.go
@@ -82,6 +82,8 @@
 		}
 	case !cfg.NewerThan(g.inForce):
 		return Ignore
+	case g.bringsBack(now, cfg):
+		return Hold
 	}
 	g.inForce = cfg
 	return Adopt
@@ -102,6 +104,17 @@
 	return now.Sub(g.eraSince) >= SettleTime || slices.Equal(outDomains(cfg), outDomains(g.inForce))
 }
 
+// bringsBack reports whether a configuration of an earlier era lacks a failure domain that is
+// out here. Within SettleTime that is no proof that operators have brought it back: they may
+// have written it again before their version, and a peer of the earlier era never had it.
+func (g *Gate) bringsBack(now time.Time, cfg *config.Config) bool {
+	if revno.Revision(cfg.Revision).Era() >= revno.Revision(g.inForce.Revision).Era() || !g.Unsettled(now) {
+		return false
+	}
+	out := outDomains(cfg)
+	return slices.ContainsFunc(outDomains(g.inForce), func(name string) bool { return !slices.Contains(out, name) })
+}
+
 func outDomains(cfg *config.Config) []string {
 	var names []string
 	for _, d := range cfg.Domains {
--- a/internal/coordination/adopt/adopt_test.go
+++ b/internal/coordination/adopt/adopt_test.go
@@ -143,3 +143,29 @@
 		t.Errorf("after SettleTime: got %d", got)
 	}
 }
+
+// Guards against a process that starts from a copy in which the operators have taken a domain
+// out again, and brings it back with a peer's later version of an earlier era (TestDrills,
+// seed 30). The operators had not written that version again yet.
+func TestALaterVersionOfAnEarlierEraBringsNoDomainBack(t *testing.T) {
+	tests := map[string]struct {
+		offered *config.Config
+		after   time.Duration // since the start
+		want    adopt.Decision
+	}{
+		"it lacks the domain":               {newConfig(50, 1, 1000), time.Second, adopt.Hold},
+		"it has another one":                {newConfig(50, 1, 1000, "c"), time.Second, adopt.Hold},
+		"it has the domain and another one": {newConfig(50, 1, 1000, "a", "c"), time.Second, adopt.Adopt},
+		"it lacks the domain, later":        {newConfig(50, 1, 1000), adopt.SettleTime, adopt.Adopt},
+		"the operators have written theirs": {newConfig(50, 2, 905), time.Second, adopt.Adopt},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := adopt.New()
+			g.Offer(start, newConfig(48, 2, 900, "a"))
+			if got := g.Offer(start.Add(test.after), test.offered); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
