An opening packet waits for its route for as long as its caller does

Change: the packet waits until its caller gives up and is then dropped without an answer. Copies are not refused at all. A caller of a route that was dropped within a minute is refused at once as before.

A limit of 400 ms would refuse callers of new routes in large fleets.

--- a/internal/coordination/steer/unrouted.go
+++ b/internal/coordination/steer/unrouted.go
@@ -8,15 +8,8 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
-const (
-	// routeTimeout is the time for which an opening packet to an address without a route
-	// waits for a configuration that has one. Callers use a route as soon as its change is
-	// acknowledged; most balancers have the change within this time.
-	routeTimeout = 400 * time.Millisecond
-
-	// maxUnrouted limits the waiting opening packets, of up to 1.3 KB each.
-	maxUnrouted = 512
-)
+// maxUnrouted limits the opening packets that wait for a route, of up to 1.3 KB each.
+const maxUnrouted = 512
 
 // routeOf returns the route of an address. It has no services if this balancer has none:
 // the route was dropped, or the configuration that adds it has not arrived yet.
@@ -28,25 +21,35 @@
 }
 
 // awaitRoute keeps the opening packet of a flow to an address without a route until a
-// configuration has one. It is refused at once if the route was dropped.
+// configuration has one or its caller gives up: callers use a route as soon as its change is
+// acknowledged, and in a large fleet the change takes a second to arrive. The packet is
+// refused at once if the route was dropped.
 func (r *Router) awaitRoute(now time.Time, key flow.Key, p *flow.Packet) {
 	isDropped := r.fleet.WasDropped(key.Service) && r.latestRevision <= r.cfg.Revision
-	if isDropped || r.cfg.Revision == 0 || len(r.unrouted) >= maxUnrouted {
-		r.reject(key, p, NoRoute)
+	switch {
+	case r.cfg.Revision == 0, isDropped, len(r.unrouted) >= maxUnrouted:
+		r.refuseUnrouted(key, p)
 		return
-	}
-	if slices.ContainsFunc(r.unrouted, func(h heldPacket) bool { return h.key == key }) {
+	case slices.ContainsFunc(r.unrouted, func(h heldPacket) bool { return h.key == key }):
 		return
 	}
 	stored := *p
 	stored.Raw = slices.Clone(p.Raw)
-	r.unrouted = append(r.unrouted, heldPacket{key: key, packet: stored, heldAt: now, maybeCopied: p.SinceFirstSent > 0})
+	r.unrouted = append(r.unrouted, heldPacket{key: key, packet: stored, heldAt: now})
 	r.actions = append(r.actions, Action{Kind: Hold, Reason: RouteUnknown, Key: key})
 }
 
+// refuseUnrouted refuses a flow, unless another balancer may have placed it.
+func (r *Router) refuseUnrouted(key flow.Key, p *flow.Packet) {
+	if p.SinceFirstSent > 0 {
+		r.actions = append(r.actions, Action{Kind: Drop, Reason: NoRoute, Key: key})
+		return
+	}
+	r.reject(key, p, NoRoute)
+}
+
 // routeUnrouted routes the waiting opening packets whose address has a route by now, and
-// refuses those whose time is over. One that another balancer may have placed is dropped
-// instead, once its caller has given up.
+// drops those whose callers have given up.
 func (r *Router) routeUnrouted(now time.Time) {
 	waiting := r.unrouted
 	r.unrouted = nil
@@ -58,20 +61,15 @@
 			r.routeCallerPacket(now, h.key, &h.packet)
 		case now.Before(h.routeDeadline()):
 			r.unrouted = append(r.unrouted, *h)
-		case h.maybeCopied:
-			r.actions = append(r.actions, Action{Kind: Drop, Reason: NoRoute, Key: h.key})
 		default:
-			r.reject(h.key, &h.packet, NoRoute)
+			r.actions = append(r.actions, Action{Kind: Drop, Reason: NoRoute, Key: h.key})
 		}
 	}
 }
 
-// routeDeadline returns until when a packet waits for a route.
+// routeDeadline returns until when an opening packet waits for a route.
 func (h *heldPacket) routeDeadline() time.Time {
-	if h.maybeCopied {
-		return h.heldAt.Add(callerOpenTimeout - h.packet.SinceFirstSent)
-	}
-	return h.heldAt.Add(routeTimeout)
+	return h.heldAt.Add(callerOpenTimeout - h.packet.SinceFirstSent)
 }
 
 // nextRouteDeadline returns when the first of the packets that wait for a route has waited
