--- a/internal/coordination/steer/unrouted.go
+++ b/internal/coordination/steer/unrouted.go
@@ -8,8 +8,15 @@
 	"github.com/coriandershift/coriandershift/internal/state/flow"
 )
 
-// maxUnrouted limits the opening packets that wait for a route, of up to 1.3 KB each.
-const maxUnrouted = 512
+const (
+	// routeTimeout is the time since it was first sent for which an opening packet waits for
+	// a route. It is little more than the age of a caller's last copy, so that a packet that
+	// waited is no later than that one.
+	routeTimeout = 800 * time.Millisecond
+
+	// maxUnrouted limits the waiting opening packets, of up to 1.3 KB each.
+	maxUnrouted = 512
+)
 
 // routeOf returns the route of an address. It has no services if this balancer has none:
 // the route was dropped, or the configuration that adds it has not arrived yet.
@@ -21,9 +28,8 @@
 }
 
 // awaitRoute keeps the opening packet of a flow to an address without a route until a
-// configuration has one or its caller gives up: callers use a route as soon as its change is
-// acknowledged, and in a large fleet the change takes a second to arrive. The packet is
-// refused at once if the route was dropped.
+// configuration has one: callers use a route as soon as its change is acknowledged, before the
+// change has reached all balancers. The packet is refused at once if the route was dropped.
 func (r *Router) awaitRoute(now time.Time, key flow.Key, p *flow.Packet) {
 	isDropped := r.fleet.WasDropped(key.Service) && r.latestRevision <= r.cfg.Revision
 	switch {
@@ -49,7 +55,7 @@
 }
 
 // routeUnrouted routes the waiting opening packets whose address has a route by now, and
-// drops those whose callers have given up.
+// drops those that have waited for too long. Another balancer may have placed them.
 func (r *Router) routeUnrouted(now time.Time) {
 	waiting := r.unrouted
 	r.unrouted = nil
@@ -69,7 +75,7 @@
 
 // routeDeadline returns until when an opening packet waits for a route.
 func (h *heldPacket) routeDeadline() time.Time {
-	return h.heldAt.Add(callerOpenTimeout - h.packet.SinceFirstSent)
+	return h.heldAt.Add(routeTimeout - h.packet.SinceFirstSent)
 }
 
 // nextRouteDeadline returns when the first of the packets that wait for a route has waited
