--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -76,6 +76,7 @@
 	departed           *flow.Announcement // the last announcement of an incarnation that announced its departure
 	departedAt         time.Time          // when departed did so
 	departureDoubtful  bool               // departed may live on
+	ignored            *flow.Announcement // the last one of another incarnation while upstream was silent
 	notListening       bool               // nothing listens at the upstream's address
 	lastAnnouncementAt time.Time
 	coldUntil          time.Time // when the upstream's warm-up ends
--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -582,3 +582,33 @@
 		t.Error("the flow is still in the table after 10 s")
 	}
 }
+
+// Guards against an upstream that is ignored for good because it started after the time of
+// day was set back, so that it seems to be older than its predecessor.
+func TestAnUpstreamThatSeemsOlderReplacesASilentOne(t *testing.T) {
+	older := func(sequence uint64) flow.Announcement {
+		return announcement(func(a *flow.Announcement) { a.ID, a.StartedUnixMilli, a.Sequence = "i-0", bornEarlier, sequence })
+	}
+	tests := map[string]struct {
+		silence   time.Duration // of the known upstream, when the first of the others arrives
+		sequences []uint64      // of the announcements of the other one, a second apart
+		want      bool          // the last of them counts
+	}{
+		"the known one announces itself":       {time.Second, []uint64{1, 2, 3}, false},
+		"it is silent, one announcement":       {5 * time.Second, []uint64{1}, false},
+		"it is silent, two announcements":      {5 * time.Second, []uint64{1, 2}, true},
+		"it is silent, a late copy of the one": {5 * time.Second, []uint64{2, 2}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := newServingOwner()
+			got := false
+			for i, sequence := range test.sequences {
+				got, _ = o.HandleAnnouncement(start.Add(test.silence+time.Duration(i)*time.Second), older(sequence))
+			}
+			if got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -16,7 +16,7 @@
 	if o.revokesDeparture(now, &a) {
 		o.upstream, o.departed = o.departed, nil
 	}
-	if !o.isNewer(&a) {
+	if !o.isNewer(&a) && !o.succeedsSilent(now, &a) {
 		return false, nil
 	}
 
@@ -31,7 +31,7 @@
 	}
 	// A silent upstream that still announces itself gets one more opening packet as a trial.
 	o.failedOpenings = min(o.failedOpenings, silentThreshold-1)
-	o.upstream = &a
+	o.upstream, o.ignored = &a, nil
 	o.notListening = false
 	o.lastAnnouncementAt = now
 	o.coldUntil = now.Add(a.WarmUpLeft)
@@ -77,6 +77,19 @@
 	return a.StartedUnixMilli > o.upstream.StartedUnixMilli
 }
 
+// succeedsSilent reports whether an announcement is of the present incarnation although its
+// start seems to be before that of the known one, as after the time of day was set back: the
+// known one is silent, and two consecutive announcements came of the other, which late ones
+// of an earlier incarnation seldom do.
+func (o *Owner) succeedsSilent(now time.Time, a *flow.Announcement) bool {
+	if o.upstream == nil || o.upstream.SameIncarnation(a) || !o.announcementOverdue(now) {
+		return false
+	}
+	previous := o.ignored
+	o.ignored = a
+	return previous != nil && previous.SameIncarnation(a) && a.Sequence > previous.Sequence
+}
+
 // HandleDeparture handles the message by which the upstream with the given ID announces
 // that it ends. The message may be late and stem from an earlier incarnation of that ID, so
 // an upstream that has not announced before that it drains may live on.
