--- a/internal/coordination/owner/restart_test.go
+++ b/internal/coordination/owner/restart_test.go
@@ -239,3 +239,37 @@
 		})
 	}
 }
+
+// Guards against a restarted agent that takes a cold upstream for a warm one because the first
+// announcement that it receives is a late one of a crashed incarnation.
+func TestALateAnnouncementDoesNotEndTheWarmUp(t *testing.T) {
+	crashed := announcement(func(a *flow.Announcement) { a.StartedUnixMilli, a.Sequence = start.Add(-time.Minute).UnixMilli(), 60 })
+	running := func(sequence uint64) flow.Announcement {
+		return announcement(func(a *flow.Announcement) {
+			a.ID, a.StartedUnixMilli, a.Sequence = "i-2", start.Add(-time.Second).UnixMilli(), sequence
+			a.WarmUpLeft = 5 * time.Second
+		})
+	}
+	tests := map[string]struct {
+		announcements []flow.Announcement // half a second apart
+		want          owner.Reason
+	}{
+		"a late one":                     {[]flow.Announcement{crashed}, owner.ColdLimit},
+		"a late one, then the running":   {[]flow.Announcement{crashed, running(2)}, owner.ColdLimit},
+		"two of the same, which is warm": {[]flow.Announcement{crashed, announcement(func(a *flow.Announcement) { a.StartedUnixMilli, a.Sequence = crashed.StartedUnixMilli, 61 })}, owner.Opened},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := owner.New(owner.Settings{Self: self, Domain: "a", Service: "svc"}, start)
+			o.Configure(start, newConfig(1, func(c *config.Config) { c.Services[0].Limits.ColdPerSecond = 2 }))
+			now := start
+			for _, a := range test.announcements {
+				now = now.Add(500 * time.Millisecond)
+				o.HandleAnnouncement(now, a)
+			}
+			if _, reason := firstAction(o.HandleBalancerPacket(now, envelope(endpoint(11)), opening(1))); reason != test.want {
+				t.Errorf("got %q, want %q", reason, test.want)
+			}
+		})
+	}
+}
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -35,6 +35,10 @@
 	o.notListening = false
 	o.lastAnnouncementAt = now
 	o.coldUntil = now.Add(a.WarmUpLeft)
+	if newIncarnation && o.mayHoldEarlierFlows && now.Sub(o.startedAt) < offerPeriod {
+		// The announcement may be a late one of an incarnation that has crashed.
+		o.coldUntil = now.Add(max(a.WarmUpLeft, firstAnnouncementTimeout))
+	}
 	if a.State != flow.Serving {
 		o.forwardWaiting(now, UpstreamDraining)
 	}
