--- a/internal/coordination/fleet/former.go
+++ b/internal/coordination/fleet/former.go
@@ -14,8 +14,8 @@
 
 // former keeps where routes led in earlier configurations.
 type former struct {
-	// since is the time from which every configuration is known. It is later than the start
-	// if some were in force between two that this balancer had.
+	// since is the time from which every configuration is known: the start, or the latest
+	// change that other configurations, unknown here, may have preceded.
 	since time.Time
 
 	// routes are the former services of the routes by address, with the time at which they
@@ -33,7 +33,7 @@
 	if previous.Revision == 0 {
 		return
 	}
-	if !next.FollowsSeen(previous.Revision) {
+	if !next.HasFormerSince(previous.Revision) {
 		f.since = now
 	}
 	for _, entry := range previous.FormerIn(next) {
@@ -68,8 +68,8 @@
 	return names
 }
 
-// covers reports whether services covers all configurations under which flows that are open
-// may have been opened, except those that have not reached this balancer yet.
+// covers reports whether services returns all former services at which flows may be open, but
+// for configurations that have not reached this balancer yet.
 func (f *former) covers(now time.Time) bool {
 	return now.Sub(f.since) >= formerTTL
 }
--- a/internal/coordination/fleet/former_test.go
+++ b/internal/coordination/fleet/former_test.go
@@ -34,11 +34,11 @@
 func TestServicesOfSkippedConfigurationsMayHoldFlows(t *testing.T) {
 	first := withRevision(routeTo("s0"), 1)
 	between := withRevision(routeTo("s1"), 2)
-	between.Follow(first)
+	between.RecordFormer(first)
 	last := withRevision(routeTo("s0"), 3)
-	last.Follow(between)
+	last.RecordFormer(between)
 	unseen := withRevision(routeTo("s0"), 3)
-	unseen.FollowUnseen(first)
+	unseen.RecordFormerAcrossGap(first)
 	tests := map[string]struct {
 		next      *config.Config
 		age       time.Duration // since next
@@ -63,7 +63,7 @@
 			if diff := cmp.Diff(test.want, numbersOf(live)); diff != "" {
 				t.Error(diff)
 			}
-			if got := f.KnowsServicesAt(start).Sub(start); got != test.wantKnown {
+			if got := f.ServicesKnownFrom(start).Sub(start); got != test.wantKnown {
 				t.Errorf("all services are known after %v, want %v", got, test.wantKnown)
 			}
 		})
@@ -81,7 +81,7 @@
 	if diff := cmp.Diff([][]byte{{0, 1, 2, 3, 4, 5}, {0, 1, 2, 3, 4, 5, 10}}, got); diff != "" {
 		t.Error(diff)
 	}
-	if at := f.KnowsServicesAt(start); !at.IsZero() {
+	if at := f.ServicesKnownFrom(start); !at.IsZero() {
 		t.Errorf("all services are known from %v on, want at once", at)
 	}
 }
--- a/internal/coordination/fleet/holder.go
+++ b/internal/coordination/fleet/holder.go
@@ -60,10 +60,10 @@
 	return live, dead
 }
 
-// KnowsServicesAt returns the time from which AllHolders covers all services to which a route
+// ServicesKnownFrom returns the time from which AllHolders covers all services to which a route
 // may have led when a flow was opened, the zero time if it does in any case. The flow was open
 // at a time; the configuration of then reaches this balancer within config.ChangeBound.
-func (f *Fleet) KnowsServicesAt(open time.Time) time.Time {
+func (f *Fleet) ServicesKnownFrom(open time.Time) time.Time {
 	if len(f.services) <= maxSearchedServices {
 		return time.Time{}
 	}
--- a/internal/coordination/model/versions_test.go
+++ b/internal/coordination/model/versions_test.go
@@ -88,7 +88,7 @@
 			Shares: []config.Share{{Service: service, Weight: 1}},
 		})
 	}
-	next.Follow(fs.cfg)
+	next.RecordFormer(fs.cfg)
 	fs.cfg = next
 	fs.recordVersion()
 	for _, b := range fs.balancers {
@@ -112,7 +112,7 @@
 		c := next
 		if whole {
 			c = next.Clone()
-			c.FollowUnseen(inForce())
+			c.RecordFormerAcrossGap(inForce())
 		}
 		apply(c)
 	})
--- a/internal/coordination/seek/conclude.go
+++ b/internal/coordination/seek/conclude.go
@@ -13,7 +13,7 @@
 // yet.
 func (s *Seeker) conclude(now time.Time, key flow.Key, r *search) {
 	live, dead := s.fleet.AllHolders(now, s.routeOf(key.Service), key.Hash())
-	servicesKnownAt := s.fleet.KnowsServicesAt(r.startedAt)
+	servicesKnownAt := s.fleet.ServicesKnownFrom(r.startedAt)
 	switch {
 	case slices.ContainsFunc(live, r.query.misses):
 		s.endInconclusive(now, key, r, AgentUncertain)
--- a/internal/state/config/former.go
+++ b/internal/state/config/former.go
@@ -11,7 +11,7 @@
 	// cut off, at the largest size.
 	ChangeBound = 7 * time.Second
 
-	// maxFormer is the number of Former that a configuration keeps, of about 60 bytes each.
+	// maxFormer is the number of Former that a configuration keeps, of about 50 bytes each.
 	maxFormer = 1024
 )
 
@@ -27,23 +27,22 @@
 	Until uint64 `json:"until"`
 }
 
-// Follow records in c, which directly follows another configuration, the services to which
-// routes led until then. c shares memory with previous.
-func (c *Config) Follow(previous *Config) {
+// RecordFormer sets Former of a configuration that directly follows another one.
+func (c *Config) RecordFormer(previous *Config) {
 	c.FormerFrom = previous.formerFrom()
 	c.addFormer(previous.Former, previous.FormerIn(c))
 }
 
-// FollowUnseen is like Follow if other configurations, unknown here, may have been in force
-// between the two.
-func (c *Config) FollowUnseen(previous *Config) {
+// RecordFormerAcrossGap is like RecordFormer if other configurations may have been in force
+// between the two, which are unknown here.
+func (c *Config) RecordFormerAcrossGap(previous *Config) {
 	c.FormerFrom = c.Revision
 	c.addFormer(previous.Former, previous.FormerIn(c))
 }
 
-// FollowsSeen reports whether Former names all services to which routes led at any time
-// since a revision.
-func (c *Config) FollowsSeen(revision uint64) bool {
+// HasFormerSince reports whether Former names all services to which routes led at any time
+// since a revision and do not lead now.
+func (c *Config) HasFormerSince(revision uint64) bool {
 	return c.formerFrom() <= revision
 }
 
--- a/internal/state/config/former_test.go
+++ b/internal/state/config/former_test.go
@@ -51,7 +51,7 @@
 		for revision := uint64(2); revision <= uint64(rapid.IntRange(2, 20).Draw(t, "revisions")); revision++ {
 			last := all[len(all)-1]
 			next := drawRoutes(t, revision)
-			next.Follow(last)
+			next.RecordFormer(last)
 			history.Add(config.Diff(last, next))
 			all = append(all, next)
 		}
@@ -68,7 +68,7 @@
 		if diff := cmp.Diff(all[len(all)-1], got, cmpopts.EquateEmpty(), cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
 			t.Fatal(diff)
 		}
-		if !got.FollowsSeen(all[start].Revision) {
+		if !got.HasFormerSince(all[start].Revision) {
 			t.Fatal("the list is not complete from the configuration that was patched")
 		}
 		now := servicesOf(got)
@@ -90,11 +90,11 @@
 func TestFormerIsCompleteOnlyWithoutAGap(t *testing.T) {
 	newConfig := func(revision uint64) *config.Config { return &config.Config{Revision: revision, Operators: revision} }
 	follow := func(previous, next *config.Config) *config.Config {
-		next.Follow(previous)
+		next.RecordFormer(previous)
 		return next
 	}
 	unseen := func(previous, next *config.Config) *config.Config {
-		next.FollowUnseen(previous)
+		next.RecordFormerAcrossGap(previous)
 		return next
 	}
 	patched := func(from, to *config.Config) *config.Config {
@@ -127,16 +127,16 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if got := test.cfg.FollowsSeen(test.since); got != test.wantFollow {
+			if got := test.cfg.HasFormerSince(test.since); got != test.wantFollow {
 				t.Errorf("complete since %d: got %v, want %v", test.since, got, test.wantFollow)
 			}
 		})
 	}
 }
 
-// BenchmarkFollow measures what it costs to record the former service of one route of 15,000
+// BenchmarkRecordFormer measures what it costs to record the former service of one route of 15,000
 // that moves, and reports the bytes that this adds to a delta and at most to a configuration.
-func BenchmarkFollow(b *testing.B) {
+func BenchmarkRecordFormer(b *testing.B) {
 	previous := &config.Config{Revision: 1}
 	for i := range 15000 {
 		previous.Routes = append(previous.Routes, config.Route{
@@ -148,7 +148,7 @@
 	next.Revision++
 	next.Routes[7000].Shares = []config.Share{{Service: "report-files", Weight: 1}}
 	for b.Loop() {
-		next.Follow(previous)
+		next.RecordFormer(previous)
 	}
 	size := func(former []config.Former) float64 {
 		data, err := cbor.Marshal(former)
--- a/internal/transport/ctrl/adopt.go
+++ b/internal/transport/ctrl/adopt.go
@@ -63,10 +63,10 @@
 // operators write no configuration twice, so there was none between two with their version.
 func recordFormer(previous, cfg *config.Config) {
 	if cfg.Operators > 0 && cfg.Operators == previous.Operators {
-		cfg.Follow(previous)
+		cfg.RecordFormer(previous)
 		return
 	}
-	cfg.FollowUnseen(previous)
+	cfg.RecordFormerAcrossGap(previous)
 }
 
 // observeEra exchanges the latest era of the store between the store's client and the
