A peer that failed is asked again once it offers a later configuration anew

Now a peer that has offered anew since is asked if there is no other. TestAPeerThatFailedIsAskedAgainOnceItOffersAnew fails without the change.

--- a/internal/coordination/fetch/fetch.go
+++ b/internal/coordination/fetch/fetch.go
@@ -122,13 +122,22 @@
 	if p.wantedSince.IsZero() || !p.isDue(now) {
 		return netip.AddrPort{}, false
 	}
-	var candidates []netip.AddrPort
+	var candidates, failed []netip.AddrPort
 	for address, known := range p.peers {
-		mayHave := known.offer.Revision == 0 || known.offer.NewerThan(&p.inForce)
-		if known.startedAt.IsZero() && mayHave && now.Sub(known.failedAt) >= failureTTL {
+		isLater := known.offer.NewerThan(&p.inForce)
+		switch {
+		case !known.startedAt.IsZero():
+		case now.Sub(known.failedAt) < failureTTL:
+			if isLater {
+				failed = append(failed, address) // it has made an offer since
+			}
+		case isLater, known.offer.Revision == 0:
 			candidates = append(candidates, address)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = failed
+	}
 	if len(candidates) == 0 {
 		return netip.AddrPort{}, false
 	}
--- a/internal/coordination/fetch/fetch_test.go
+++ b/internal/coordination/fetch/fetch_test.go
@@ -165,3 +165,24 @@
 		t.Error("the configuration is in force and is to be read from the store")
 	}
 }
+
+// Guards against a process that asks its only peer again two seconds after a fetch failed.
+func TestAPeerThatFailedIsAskedAgainOnceItOffersAnew(t *testing.T) {
+	p := newProcess(5, peerAt(1))
+	p.plan.Offer(p.now, peerAt(1), false, 5, 0)
+	p.step()
+	delete(p.ends, peerAt(1)) // the connection is reset
+	p.plan.Finish(p.now, peerAt(1), false, false)
+	p.hangs = nil
+	p.step()
+	if p.inForce != 0 || len(p.started) != 1 {
+		t.Fatalf("%d fetches before another offer", len(p.started))
+	}
+	p.plan.Offer(p.now, peerAt(1), false, 5, 0)
+	for range 3 {
+		p.step()
+	}
+	if p.inForce != 5 {
+		t.Errorf("revision %d is in force after another offer, want 5", p.inForce)
+	}
+}
