--- a/internal/coordination/fetch/fetch.go
+++ b/internal/coordination/fetch/fetch.go
@@ -33,6 +33,16 @@
 	starvedAfter = 500 * time.Millisecond
 )
 
+// Outcome is the result of a fetch.
+type Outcome uint8
+
+const (
+	Failed  Outcome = iota // the peer did not answer
+	Nothing                // the peer has no later configuration than the one in force
+	Held                   // the configuration is held back; see package adopt
+	Adopted                // the configuration is in force
+)
+
 // Plan holds what is known of the peers' configurations. It is not safe for concurrent use.
 type Plan struct {
 	inForce config.Config // only Revision and Operators are set
@@ -102,17 +112,19 @@
 	}
 }
 
-// Finish records the end of the fetch from a peer: whether the peer answered, and whether its
-// configuration was later than the one in force.
-func (p *Plan) Finish(now time.Time, address netip.AddrPort, answered, later bool) {
+// Finish records the end of the fetch from a peer.
+func (p *Plan) Finish(now time.Time, address netip.AddrPort, outcome Outcome) {
 	known := p.peer(address)
-	if answered {
+	if outcome != Failed {
 		p.hedgeDelay.Observe(now, now.Sub(known.startedAt))
 		known.reachedAt = now
 	}
-	if !later {
+	if outcome != Adopted {
 		known.failedAt, known.offer = now, config.Config{}
 	}
+	if outcome == Held {
+		p.wantedSince = time.Time{} // the store has nothing else
+	}
 	known.startedAt, known.hedged = time.Time{}, false
 }
 
--- a/internal/coordination/fetch/fetch_test.go
+++ b/internal/coordination/fetch/fetch_test.go
@@ -42,13 +42,16 @@
 		}
 		delete(p.ends, peer)
 		revision := p.has(peer)
-		answered := !p.hangs[peer]
-		later := answered && revision > p.inForce
-		if later {
+		outcome := fetch.Nothing
+		switch {
+		case p.hangs[peer]:
+			outcome = fetch.Failed
+		case revision > p.inForce:
+			outcome = fetch.Adopted
 			p.inForce = revision
 			p.plan.Apply(p.now, &config.Config{Revision: revision})
 		}
-		p.plan.Finish(p.now, peer, answered, later)
+		p.plan.Finish(p.now, peer, outcome)
 	}
 	for {
 		peer, found := p.plan.Next(p.now)
@@ -172,7 +175,7 @@
 	p.plan.Offer(p.now, peerAt(1), false, 5, 0)
 	p.step()
 	delete(p.ends, peerAt(1)) // the connection is reset
-	p.plan.Finish(p.now, peerAt(1), false, false)
+	p.plan.Finish(p.now, peerAt(1), fetch.Failed)
 	p.hangs = nil
 	p.step()
 	if p.inForce != 0 || len(p.started) != 1 {
@@ -186,3 +189,23 @@
 		t.Errorf("revision %d is in force after another offer, want 5", p.inForce)
 	}
 }
+
+// Guards against thousands of balancers that read the store because they hold back what their
+// peers have.
+func TestAConfigurationThatIsHeldBackIsNotReadFromTheStore(t *testing.T) {
+	tests := map[string]struct {
+		outcome fetch.Outcome
+		want    bool
+	}{"failed": {fetch.Failed, true}, "held back": {fetch.Held, false}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			plan := fetch.New()
+			plan.Offer(start, peerAt(1), false, 5, 0)
+			peer, _ := plan.Next(start)
+			plan.Finish(start.Add(roundTrip), peer, test.outcome)
+			if got := plan.Starved(start.Add(time.Second)); got != test.want {
+				t.Errorf("starved: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/transport/ctrl/fetch.go
+++ b/internal/transport/ctrl/fetch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coriandershift/coriandershift/internal/coordination/adopt"
+	"github.com/coriandershift/coriandershift/internal/coordination/fetch"
 	"github.com/coriandershift/coriandershift/internal/coordination/member"
 )
 
@@ -43,20 +44,23 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 
+	outcome := fetch.Failed
 	cfg, err := p.fetcher.Fetch(ctx, peer, p.Config())
-	later := false
 	if err != nil {
 		p.log.Warn("cannot fetch configuration", "peer", peer, "error", err)
 	} else {
-		later = p.offer(cfg, "peer") == adopt.Adopt
+		outcome = outcomes[p.offer(cfg, "peer")]
 	}
 
 	p.mu.Lock()
-	p.plan.Finish(time.Now(), peer, err == nil, later)
+	p.plan.Finish(time.Now(), peer, outcome)
 	p.mu.Unlock()
 	p.startFetches()
 }
 
+// outcomes are the outcomes of fetches by the decision on what was fetched.
+var outcomes = map[adopt.Decision]fetch.Outcome{adopt.Ignore: fetch.Nothing, adopt.Hold: fetch.Held, adopt.Adopt: fetch.Adopted}
+
 // InquireConfig asks a balancer which configuration it has, after a message that shows a
 // later revision than the one in force.
 func (p *Plane) InquireConfig(balancer netip.AddrPort) {
