--- a/review/_drive3/cold.go
+++ b/review/_drive3/cold.go
@@ -29,6 +29,7 @@
 	mu       sync.Mutex
 	sent     map[flowKey]time.Time
 	byServer map[string]map[flowKey]opening
+	through  map[flowKey]string // the front that took the first packet, if it is recorded
 }
 
 func (o *openings) observe(at time.Time, s *server, key flowKey, p *packet, taken bool) {
@@ -146,6 +147,9 @@
 		seen.mu.Lock()
 		defer seen.mu.Unlock()
 		seen.sent[key] = time.Now()
+		if seen.through != nil {
+			seen.through[key] = c.routers.pick(c.zone, key).String()
+		}
 	})
 	if !ok {
 		return "not opened"
--- a/review/_drive3/fleet.go
+++ b/review/_drive3/fleet.go
@@ -39,6 +39,7 @@
 	process                    *exec.Cmd
 	exited                     chan struct{}
 	server                     *server
+	path                       *proxy // to the store; nil for a direct one
 }
 
 func (m *machine) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(m.ip, port) }
@@ -108,8 +109,12 @@
 	if err != nil {
 		return "", err
 	}
+	store := f.store.Address()
+	if m.path != nil {
+		store = m.path.address()
+	}
 	values := map[string]string{
-		"nodeName": m.name, "zone": m.zone, "ip": m.ip.String(), "platform.address": f.store.Address().String(),
+		"nodeName": m.name, "zone": m.zone, "ip": m.ip.String(), "platform.address": store.String(),
 		"internalPortRange.0": fmt.Sprint(internalPort), "service": m.service, "app": m.at(appPort).String(),
 		"listen.datagramAddr": m.at(datagramPort).String(), "listen.readyAddr": m.at(readyPort).String(),
 		"listen.outbound": m.at(outboundPort).String(), "listen.control": m.at(controlPort).String(), "limits.linkMbps": "1000",
