--- a/review/_drive3/fleet.go
+++ b/review/_drive3/fleet.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,22 +40,34 @@
 	process                    *exec.Cmd
 	exited                     chan struct{}
 	server                     *server
-	path                       *proxy // to the store; nil for a direct one
+	path                       *proxy     // to the store; nil for a direct one
+	advertised                 netip.Addr // at which other machines reach the process, if not ip
+}
+
+// reached returns the address at which other machines reach the process.
+func (m *machine) reached() netip.Addr {
+	if m.advertised.IsValid() {
+		return m.advertised
+	}
+	return m.ip
 }
 
 func (m *machine) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(m.ip, port) }
 
 // fleet is a small deployment on loopback addresses.
 type fleet struct {
-	folder   string // of the settings and logs
-	subnet   byte
-	claim    net.Listener
-	store    *standin.Store
-	machines []*machine
-	routers  *routers
-	clients  []*client
-	log      *record
-	mu       sync.Mutex // held while a process starts, or all are ended
+	folder     string // of the settings and logs
+	subnet     byte
+	claim      net.Listener
+	store      *standin.Store
+	machines   []*machine
+	routers    *routers
+	beforeLate func()
+	clients    []*client
+	log        *record
+	late       []*machine // started after all others, once beforeLate returns
+	enough     int        // fronts that have to be in rotation, all if 0
+	mu         sync.Mutex // held while a process starts, or all are ended
 }
 
 // maxRunTime limits the run of a case.
@@ -121,9 +134,13 @@
 	}
 	var seeds []string
 	for _, front := range f.ofClass("front")[:min(3, len(f.ofClass("front")))] {
-		seeds = append(seeds, fmt.Sprintf("%q", front.at(controlPort)))
+		seeds = append(seeds, fmt.Sprintf("%q", netip.AddrPortFrom(front.reached(), controlPort)))
 	}
 	text := regexp.MustCompile(`{{#seeds}}.*{{/seeds}}`).ReplaceAllString(string(template), strings.Join(seeds, ", "))
+	if m.advertised.IsValid() {
+		addresses := fmt.Sprintf(`"address": "%s:%d", "listen": "%s:%d",`, m.advertised, internalPort, m.ip, internalPort)
+		text = strings.Replace(text, `"address": "{{ip}}:{{internalPortRange.0}}",`, addresses, 1)
+	}
 	text = regexp.MustCompile(`{{[#/]limits.linkMbps}}`).ReplaceAllString(text, "")
 	return regexp.MustCompile(`{{[^}]*}}`).ReplaceAllStringFunc(text, func(name string) string {
 		return values[strings.Trim(name, "{}")]
@@ -198,7 +215,11 @@
 func (f *fleet) startAll(clientsPerZone int, prepare func(s *server)) (bool, error) {
 	var fronts []*front
 	zones := map[string]bool{}
-	for _, m := range f.machines {
+	order := slices.DeleteFunc(slices.Clone(f.machines), func(m *machine) bool { return slices.Contains(f.late, m) })
+	for i, m := range append(order, f.late...) {
+		if i == len(order) {
+			f.beforeLate()
+		}
 		if err := f.start(m); err != nil {
 			return false, err
 		}
@@ -230,7 +251,7 @@
 		}
 	}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if f.routers.inRotation() == len(fronts) {
+		if n := f.routers.inRotation(); n == len(fronts) || (f.enough > 0 && n >= f.enough) {
 			time.Sleep(2 * time.Second) // heartbeats of all servers have arrived
 			return true, nil
 		}
--- a/review/_drive3/main.go
+++ b/review/_drive3/main.go
@@ -16,7 +16,7 @@
 // play plays a case and reports how often the rule was broken.
 type play func(log *record, trouble bool) (broken int, err error)
 
-var plays = map[string]play{"cut": playCut, "moved": playMoved, "cold": playCold, "drill": playDrill}
+var plays = map[string]play{"apart": playApart, "cut": playCut, "moved": playMoved, "cold": playCold, "drill": playDrill}
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
--- a/review/_drive3/moved.go
+++ b/review/_drive3/moved.go
@@ -165,13 +165,14 @@
 	return broken, nil
 }
 
-// useFlow sends requests on a flow until one fails.
-func useFlow(log *record, flow *clientFlow, n int, stop chan struct{}) {
+// useFlow sends requests on a flow until one fails, and returns how, or "" if none does
+// until stop is closed.
+func useFlow(log *record, flow *clientFlow, n int, stop chan struct{}) string {
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			flow.finish()
-			return
+			return ""
 		case <-time.After(idleTime):
 		}
 		id := fmt.Sprintf("r-%d-%d-%d", flow.c.ip.As4()[3], n, i)
@@ -180,7 +181,7 @@
 		if failure != "" {
 			log.at(sent, "request %s on flow %v, open for %v: %s", id, flow.key, sent.Sub(flow.opened).Round(time.Millisecond), failure)
 			flow.forget()
-			return
+			return failure
 		}
 		if answer != id+" "+flow.server {
 			log.at(sent, "request %s on flow %v got %q", id, flow.key, answer)
